--- /dev/null
+++ b/src/pomelothread/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP interface towards callers."""
--- /dev/null
+++ b/src/pomelothread/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The program that holds waiting requests and relays responses."""
--- /dev/null
+++ b/src/pomelothread/instance_list/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's lagging list of live and leaving instances."""
--- /dev/null
+++ b/src/pomelothread/log/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's append-only log: client, tailing and claims on keys."""
--- /dev/null
+++ b/src/pomelothread/peers/messages.py
@@ -0,0 +1,214 @@
+"""Control messages between entries and agents.
+
+Any of them may be lost, delayed, duplicated or reordered. Each is idempotent
+and names the incarnations that it concerns.
+"""
+
+import msgspec
+
+PROTOCOL_VERSION = 1
+MIN_PROTOCOL_VERSION = 1
+
+OPEN = "open"
+DRAINING = "draining"
+CLOSED = "closed"
+
+
+class _Message(msgspec.Struct, frozen=True, tag=True):
+    """Base of all messages; unknown fields are ignored when decoding."""
+
+
+class Floor(msgspec.Struct, frozen=True):
+    """A pool's floor: waiting requests of a rank above it are shed.
+
+    Parameters
+    ----------
+    pool : str
+        Pool of upstreams.
+    tier_rank : int
+        The lowest rank that is still kept is the most urgent one that is less
+        than or equal to this; rank 0 is the most urgent.
+    life_ms : int
+        Remaining life.
+    """
+
+    pool: str
+    tier_rank: int
+    life_ms: int
+
+
+class EntryBeat(_Message, frozen=True):
+    """Heartbeat of an entry to an agent."""
+
+    incarnation: str
+    instance: str
+    inbox: str
+    n_offers: int = 0
+    sheet_version: int = 0
+    leaving_instances: tuple[str, ...] = ()
+    protocol_version: int = PROTOCOL_VERSION
+    min_protocol_version: int = MIN_PROTOCOL_VERSION
+
+
+class AgentBeat(_Message, frozen=True):
+    """Heartbeat of an agent to an entry, with its load."""
+
+    incarnation: str
+    instance: str
+    inbox: str
+    pool: str
+    failure_domain: str
+    region: str
+    http_address: str
+    state: str
+    n_places: int = 0
+    n_free_places: int = 0
+    waiting_by_rank: dict[int, int] = {}
+    waiting_tokens: int = 0
+    token_gap_s: float = 0.0
+    prefill_tokens_per_s: float = 0.0
+    service_time_s: float = 0.0
+    floors: tuple[Floor, ...] = ()
+    suspects: tuple[str, ...] = ()
+    convicted: tuple[str, ...] = ()
+    sheet_version: int = 0
+    protocol_version: int = PROTOCOL_VERSION
+    min_protocol_version: int = MIN_PROTOCOL_VERSION
+
+
+class Offer(_Message, frozen=True):
+    """A waiting request, offered to an agent."""
+
+    incarnation: str
+    request_id: str
+    pool: str
+    service: str
+    tier_rank: int
+    protected: bool
+    organisation: str
+    share: float
+    n_input_tokens: int
+    n_output_tokens: int
+    deadline_ms: int
+    prefix_hashes: tuple[int, ...] = ()
+    solo: bool = False
+
+
+class Withdraw(_Message, frozen=True):
+    """The request no longer wants a place at this agent."""
+
+    incarnation: str
+    request_id: str
+
+
+class Grant(_Message, frozen=True):
+    """A place for one request, good for one dispatch."""
+
+    incarnation: str
+    request_id: str
+    grant: int
+    life_ms: int
+
+
+class Decline(_Message, frozen=True):
+    """The entry does not use the grant; the place is free again."""
+
+    incarnation: str
+    request_id: str
+    grant: int
+
+
+class Refuse(_Message, frozen=True):
+    """The agent does not keep the offer.
+
+    `reason` is one of ``floor``, ``leaving``, ``full`` and ``convicted``.
+    """
+
+    incarnation: str
+    request_id: str
+    reason: str
+
+
+class Revoke(_Message, frozen=True):
+    """Asks the agent never to use a grant, and whether it already has."""
+
+    incarnation: str
+    request_id: str
+    grant: int
+    agent_incarnation: str
+
+
+class Revoked(_Message, frozen=True):
+    """Answer to `Revoke`: whether the grant was never used and never will be."""
+
+    incarnation: str
+    request_id: str
+    grant: int
+    never_used: bool
+
+
+class RaiseFloor(_Message, frozen=True):
+    """Asks the agent to shed all waiting work of a pool below a tier."""
+
+    incarnation: str
+    pool: str
+    tier_rank: int
+    floor_number: int
+
+
+class FloorRaised(_Message, frozen=True):
+    """The agent has shed what it kept below the floor."""
+
+    incarnation: str
+    pool: str
+    tier_rank: int
+    floor_number: int
+
+
+Message = (
+    EntryBeat
+    | AgentBeat
+    | Offer
+    | Withdraw
+    | Grant
+    | Decline
+    | Refuse
+    | Revoke
+    | Revoked
+    | RaiseFloor
+    | FloorRaised
+)
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Message)
+
+
+def encode_message(message: Message) -> bytes:
+    """Encode a message as msgpack."""
+    return _encoder.encode(message)
+
+
+def decode_message(data: bytes) -> Message | None:
+    """Decode a message.
+
+    Parameters
+    ----------
+    data : bytes
+        One message as received.
+
+    Returns
+    -------
+    Message or None
+        None if the tag is unknown (a newer peer) or the data is malformed.
+
+    Examples
+    --------
+    >>> decode_message(encode_message(Withdraw("a1", "r7")))
+    Withdraw(incarnation='a1', request_id='r7')
+    >>> decode_message(b"junk") is None
+    True
+    """
+    try:
+        return _decoder.decode(data)
+    except msgspec.DecodeError:
+        return None
--- /dev/null
+++ b/src/pomelothread/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on routing, limits, shedding and retries, as plain functions."""
--- /dev/null
+++ b/src/pomelothread/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Engines and plain services behind an agent."""
--- /dev/null
+++ b/tools/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for what the system serves and runs on."""
