--- /dev/null
+++ b/src/pomelothread/agent/grants.py
@@ -0,0 +1,349 @@
+"""Offers that wait for a place, the grants made from them, and what runs."""
+
+from dataclasses import dataclass
+
+from ..clock import Clock
+from ..peers.messages import (
+    OPEN,
+    Decline,
+    FloorRaised,
+    Grant,
+    Offer,
+    RaiseFloor,
+    Refuse,
+    Revoke,
+    Revoked,
+    Withdraw,
+)
+from ..policy.fairness import FairQueue
+from ..policy.places import PlaceLimit
+from ..policy.shedding import FloorBook
+
+GRANT_LIFE_S = 2.0
+FLOOR_LIFE_S = 1.0
+# An entry without a heartbeat for this long is taken for gone, and so are its
+# offers: five intervals of 0.5 s.
+ENTRY_SILENCE_S = 2.5
+# How long used grants are remembered so that a late `Revoke` is told the truth;
+# after this, the answer is "may have been used".
+USED_GRANT_MEMORY_S = 600.0
+
+
+@dataclass(slots=True)
+class _Granted:
+    offer: Offer
+    expires_at_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """A place that a dispatched request holds until `Grants.release`.
+
+    Parameters
+    ----------
+    grant : int
+        The number of the grant that was used.
+    offer : Offer
+        The request that it was made for.
+    """
+
+    grant: int
+    offer: Offer
+
+    @property
+    def n_context_tokens(self) -> int:
+        """Tokens of context that the request may come to hold."""
+        return self.offer.n_input_tokens + self.offer.n_output_tokens
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """A message for one entry, named by its incarnation."""
+
+    entry: str
+    message: Grant | Refuse | Revoked | FloorRaised
+
+
+class Grants:
+    """Decides which waiting request gets the next place of one upstream.
+
+    A grant is good for one dispatch. It is looked up and removed before the
+    first byte goes to the upstream, so neither a repeated nor a late POST can
+    dispatch a second time.
+
+    Parameters
+    ----------
+    incarnation : str
+        The agent's incarnation.
+    limit : PlaceLimit
+        How many places the upstream has.
+    clock : Clock
+        Source of monotonic time.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_entries_heard_at_s",
+        "_granted",
+        "_granted_by_request",
+        "_incarnation",
+        "_next_grant",
+        "_oldest_remembered",
+        "_running",
+        "_used_at_s",
+        "floors",
+        "limit",
+        "n_expired",
+        "queue",
+        "state",
+    )
+
+    def __init__(self, incarnation: str, limit: PlaceLimit, clock: Clock) -> None:
+        self._incarnation = incarnation
+        self._clock = clock
+        self._next_grant = 1
+        self._granted: dict[int, _Granted] = {}
+        self._granted_by_request: dict[str, int] = {}
+        self._running: dict[int, Place] = {}
+        self._used_at_s: dict[int, float] = {}
+        self._oldest_remembered = 1
+        self._entries_heard_at_s: dict[str, float] = {}
+        self.limit = limit
+        self.floors = FloorBook()
+        self.queue: FairQueue[Offer] = FairQueue()
+        self.state = OPEN
+        self.n_expired = 0
+
+    @property
+    def n_running(self) -> int:
+        """Number of requests at the upstream."""
+        return len(self._running)
+
+    @property
+    def n_taken(self) -> int:
+        """Number of places that are running or granted."""
+        return len(self._running) + len(self._granted)
+
+    def running(self) -> list[Place]:
+        """Return the places in use, oldest first."""
+        return list(self._running.values())
+
+    def hear_entry(self, entry: str) -> None:
+        """Note a sign of life of an entry."""
+        self._entries_heard_at_s[entry] = self._clock.monotonic_s()
+
+    def offer(self, offer: Offer) -> list[Reply]:
+        """Queue an offer, or say again what was already decided on it.
+
+        Parameters
+        ----------
+        offer : Offer
+            As received; entries repeat it with each heartbeat.
+
+        Returns
+        -------
+        list of Reply
+            A grant for this or other offers, or a refusal.
+        """
+        now_s = self._clock.monotonic_s()
+        self.hear_entry(offer.incarnation)
+        if self.state != OPEN:
+            return [self._refuse(offer, "leaving")]
+        grant = self._granted_by_request.get(offer.request_id)
+        if grant is not None:
+            return [self._grant_reply(grant, now_s)]
+        if self.floors.is_below(offer.pool, offer.tier_rank, now_s):
+            return [self._refuse(offer, "floor")]
+        self.queue.push(
+            offer.request_id,
+            offer,
+            tier_rank=offer.tier_rank,
+            organisation=offer.organisation,
+            share=offer.share,
+            cost=float(offer.n_input_tokens + offer.n_output_tokens),
+        )
+        return self.fill()
+
+    def withdraw(self, message: Withdraw) -> list[Reply]:
+        """Drop an offer; a grant already made for it is taken back."""
+        self.queue.remove(message.request_id)
+        grant = self._granted_by_request.get(message.request_id)
+        if grant is None:
+            return []
+        self._drop_grant(grant)
+        return self.fill()
+
+    def decline(self, message: Decline) -> list[Reply]:
+        """Take back a grant that its entry does not use."""
+        granted = self._granted.get(message.grant)
+        if granted is None or granted.offer.request_id != message.request_id:
+            return []
+        self._drop_grant(message.grant)
+        return self.fill()
+
+    def revoke(self, message: Revoke) -> list[Reply]:
+        """Make sure that a grant is not used, and say whether it ever was.
+
+        A successor cannot know what its predecessor dispatched, so a grant of
+        another incarnation is never reported as unused.
+        """
+        never_used = (
+            message.agent_incarnation == self._incarnation
+            and self._oldest_remembered <= message.grant < self._next_grant
+            and message.grant not in self._used_at_s
+        )
+        if never_used and message.grant in self._granted:
+            self._drop_grant(message.grant)
+        revoked = Revoked(
+            self._incarnation, message.request_id, message.grant, never_used
+        )
+        return [Reply(message.incarnation, revoked), *self.fill()]
+
+    def raise_floor(self, message: RaiseFloor) -> list[Reply]:
+        """Shed the offers below a floor and confirm that it was done."""
+        now_s = self._clock.monotonic_s()
+        self.floors.raise_floor(message.pool, message.tier_rank, now_s, FLOOR_LIFE_S)
+        replies = []
+        for key, offer in self.queue.items_above(message.tier_rank):
+            self.queue.remove(key)
+            replies.append(self._refuse(offer, "floor"))
+        raised = FloorRaised(
+            self._incarnation, message.pool, message.tier_rank, message.floor_number
+        )
+        replies.append(Reply(message.incarnation, raised))
+        return replies
+
+    def take(self, grant: int, incarnation: str, request_id: str) -> Place | None:
+        """Use up a grant: the one decision to dispatch.
+
+        Parameters
+        ----------
+        grant : int
+            Number of the grant.
+        incarnation : str
+            Incarnation of the agent that made it.
+        request_id : str
+            The request that it was made for.
+
+        Returns
+        -------
+        Place or None
+            None if the grant is unknown, used or expired. The caller then
+            never dispatches this request on this grant.
+        """
+        if incarnation != self._incarnation:
+            return None
+        granted = self._granted.get(grant)
+        if granted is None or granted.offer.request_id != request_id:
+            return None
+        now_s = self._clock.monotonic_s()
+        self._drop_grant(grant)
+        if granted.expires_at_s <= now_s:
+            self.n_expired += 1
+            return None
+        self._used_at_s[grant] = now_s
+        place = Place(grant, granted.offer)
+        self._running[grant] = place
+        return place
+
+    def release(self, place: Place) -> list[Reply]:
+        """Free the place of a request that has ended."""
+        self._running.pop(place.grant, None)
+        return self.fill()
+
+    def close(self, state: str) -> list[Reply]:
+        """Stop granting and hand all offers back; running work goes on."""
+        self.state = state
+        replies = []
+        for key, offer in self.queue.items_above(-1):
+            self.queue.remove(key)
+            replies.append(self._refuse(offer, "leaving"))
+        return replies
+
+    def reopen(self) -> list[Reply]:
+        """Grant again after a temporary closure."""
+        self.state = OPEN
+        return self.fill()
+
+    def expire(self) -> list[Reply]:
+        """Drop grants that were not used in time and offers of silent entries."""
+        now_s = self._clock.monotonic_s()
+        for grant, granted in list(self._granted.items()):
+            if granted.expires_at_s <= now_s:
+                self._drop_grant(grant)
+                self.n_expired += 1
+        silent = {
+            entry
+            for entry, heard_at_s in self._entries_heard_at_s.items()
+            if now_s - heard_at_s > ENTRY_SILENCE_S
+        }
+        for entry in silent:
+            del self._entries_heard_at_s[entry]
+        if silent:
+            for key, offer in self.queue.items_above(-1):
+                if offer.incarnation in silent:
+                    self.queue.remove(key)
+        self._forget_used(now_s)
+        return self.fill()
+
+    def fill(self) -> list[Reply]:
+        """Grant places to waiting offers while there are any."""
+        replies: list[Reply] = []
+        if self.state != OPEN:
+            return replies
+        now_s = self._clock.monotonic_s()
+        while len(self.queue):
+            popped = self.queue.pop(self._fits)
+            if popped is None:
+                break
+            _, offer = popped
+            grant = self._next_grant
+            self._next_grant += 1
+            self._granted[grant] = _Granted(offer, now_s + GRANT_LIFE_S)
+            self._granted_by_request[offer.request_id] = grant
+            replies.append(self._grant_reply(grant, now_s))
+        return replies
+
+    def n_free_places(self) -> int:
+        """Estimate how many more requests of any tier would get a place now."""
+        return max(0, self.limit.n_places - self.n_taken)
+
+    def _fits(self, offer: Offer) -> bool:
+        taken = [granted.offer for granted in self._granted.values()]
+        taken += [place.offer for place in self._running.values()]
+        if offer.solo and taken:
+            return False
+        if any(other.solo for other in taken):
+            return False
+        return self.limit.allows(
+            n_running=len(taken),
+            n_running_unprotected=sum(not other.protected for other in taken),
+            context_tokens=sum(o.n_input_tokens + o.n_output_tokens for o in taken),
+            offer_tokens=offer.n_input_tokens + offer.n_output_tokens,
+            protected=offer.protected,
+        )
+
+    def _grant_reply(self, grant: int, now_s: float) -> Reply:
+        granted = self._granted[grant]
+        life_ms = max(0, round((granted.expires_at_s - now_s) * 1000))
+        offer = granted.offer
+        message = Grant(self._incarnation, offer.request_id, grant, life_ms)
+        return Reply(offer.incarnation, message)
+
+    def _refuse(self, offer: Offer, reason: str) -> Reply:
+        message = Refuse(self._incarnation, offer.request_id, reason)
+        return Reply(offer.incarnation, message)
+
+    def _drop_grant(self, grant: int) -> None:
+        granted = self._granted.pop(grant)
+        self._granted_by_request.pop(granted.offer.request_id, None)
+
+    def _forget_used(self, now_s: float) -> None:
+        # Grant numbers rise, so the dictionary is in order of use closely
+        # enough: the watermark moves past the oldest entries only.
+        while self._used_at_s:
+            grant, used_at_s = next(iter(self._used_at_s.items()))
+            if now_s - used_at_s < USED_GRANT_MEMORY_S:
+                return
+            del self._used_at_s[grant]
+            self._oldest_remembered = max(self._oldest_remembered, grant + 1)
--- /dev/null
+++ b/src/pomelothread/callers/http.py
@@ -0,0 +1,299 @@
+"""HTTP handlers of the entry: OpenAI chat completions and plain services."""
+
+import asyncio
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Protocol
+
+import msgspec
+import tornado.httputil
+import tornado.iostream
+import tornado.web
+from returns.pipeline import is_successful
+
+from ..operators.sheet import KIND_MODEL, Organisation, Sheet
+from ..outcomes import (
+    NotKnown,
+    NotRun,
+    ProblemResponse,
+    Reason,
+    Run,
+    problem_response,
+)
+from .requests import (
+    CallerRequest,
+    ResponseSink,
+    find_organisation,
+    parse_chat_request,
+    parse_plain_request,
+    parse_wait_s,
+)
+
+# No service accepts more; a longer body is refused before it is read.
+MAX_BODY_BYTES = 16 * 1024 * 1024
+
+
+class Scheduler(Protocol):
+    """What the handlers need of the entry."""
+
+    @property
+    def sheet(self) -> Sheet:
+        """The sheet in force."""
+        ...
+
+    @property
+    def organisations_by_token(self) -> Mapping[str, Organisation]:
+        """Organisations by the SHA-256 of their token."""
+        ...
+
+    async def serve(
+        self, request: CallerRequest, headers: Mapping[str, str], sink: ResponseSink
+    ) -> NotRun | NotKnown | None:
+        """Run a request; None if the sink has been given a response."""
+        ...
+
+    async def order_outcome(
+        self, organisation: Organisation, service: str, key: str
+    ) -> Run | NotRun | NotKnown:
+        """Ask what became of an order."""
+        ...
+
+    def caller_left(self, request: CallerRequest) -> None:
+        """Note that the caller of a request closed its connection."""
+        ...
+
+
+@dataclass(slots=True)
+class _HandlerSink:
+    """Writes a response through a tornado handler."""
+
+    handler: "CallerHandler"
+
+    def start(self, status: int, headers: list[tuple[str, str]]) -> None:
+        self.handler.set_status(status)
+        self.handler.clear_header("Content-Type")
+        for name, value in headers:
+            self.handler.add_header(name, value)
+
+    async def write(self, chunk: bytes) -> None:
+        self.handler.write(chunk)
+        await self.handler.flush()
+
+    def finish(self) -> None:
+        self.handler.finish()
+
+    def abort(self, error_event: bytes) -> None:
+        # Closing without the last chunk of the chunked encoding tells every
+        # HTTP client that the response is incomplete.
+        self.handler.abort_response(error_event)
+
+
+@tornado.web.stream_request_body
+class CallerHandler(tornado.web.RequestHandler):
+    """Base of the handlers: identity, body, and problem details."""
+
+    def initialize(self, scheduler: Scheduler) -> None:
+        """Keep the scheduler that serves the requests."""
+        self._scheduler = scheduler
+        self._chunks: list[bytes] = []
+        self._n_body_bytes = 0
+        self._serving: asyncio.Task[None] | None = None
+        self._caller_request: CallerRequest | None = None
+
+    def prepare(self) -> None:
+        """Refuse an oversized body before it is read."""
+        length = self.request.headers.get("Content-Length", "0")
+        if length.isdecimal() and int(length) > MAX_BODY_BYTES:
+            detail = f"The body has {length} bytes; at most {MAX_BODY_BYTES} are read."
+            self.send_outcome(NotRun(Reason.BODY_TOO_LARGE, detail))
+            # The rest of the body is still on its way and is not read.
+            self.request.connection.set_max_body_size(2**62)  # type: ignore[union-attr]
+
+    def data_received(self, chunk: bytes) -> None:
+        """Collect the body."""
+        self._n_body_bytes += len(chunk)
+        if self._n_body_bytes <= MAX_BODY_BYTES:
+            self._chunks.append(chunk)
+
+    def body(self) -> bytes:
+        """Return the body as the caller sent it."""
+        return b"".join(self._chunks)
+
+    def on_connection_close(self) -> None:
+        """Give up the request of a caller that left."""
+        if self._caller_request is not None:
+            self._scheduler.caller_left(self._caller_request)
+
+    def identify(self) -> Organisation | None:
+        """Return the caller's organisation, or answer that it is unknown."""
+        result = find_organisation(
+            self._scheduler.organisations_by_token,
+            self.request.headers.get("Authorization", ""),
+        )
+        if is_successful(result):
+            return result.unwrap()
+        self.send_outcome(result.failure())
+        return None
+
+    def send_outcome(self, outcome: NotRun | NotKnown) -> None:
+        """Answer with problem details."""
+        if self._finished:
+            return
+        self.send_problem(problem_response(outcome))
+
+    def send_problem(self, problem: ProblemResponse) -> None:
+        """Answer with a prepared problem."""
+        self.set_status(problem.status)
+        for name, value in problem.headers.items():
+            self.set_header(name, value)
+        self.finish(problem.body)
+
+    def abort_response(self, error_event: bytes) -> None:
+        """Write a last event and close the connection without a proper end."""
+        if error_event:
+            self.write(error_event)
+            self.flush()
+        self._finished = True
+        self.detach().close()
+
+    async def run(self, request: CallerRequest) -> None:
+        """Schedule a valid request and answer with what comes of it."""
+        self._caller_request = request
+        outcome = await self._scheduler.serve(
+            request, self.request.headers, _HandlerSink(self)
+        )
+        self._caller_request = None
+        if outcome is not None:
+            self.send_outcome(outcome)
+
+    def write_error(self, status_code: int, **kwargs: object) -> None:
+        """Answer faults found by the HTTP server as problem details too."""
+        match status_code:
+            case 404:
+                outcome = NotRun(Reason.UNKNOWN_SERVICE, "No such resource.")
+            case 405:
+                outcome = NotRun(
+                    Reason.METHOD_NOT_ALLOWED, f"{self.request.method} is not allowed."
+                )
+            case _:
+                outcome = NotRun(Reason.MALFORMED_BODY, "The request is malformed.")
+        if status_code < 500:
+            self.send_outcome(outcome)
+            return
+        # A failure of ours after dispatch may have left the request running.
+        self.send_outcome(NotKnown(Reason.ANSWER_LOST, "The entry failed."))
+
+
+class ChatCompletionsHandler(CallerHandler):
+    """``POST /v1/chat/completions``; ``model`` names the service."""
+
+    async def post(self) -> None:
+        """Run one completion."""
+        organisation = self.identify()
+        if organisation is None:
+            return
+        result = parse_chat_request(
+            self._scheduler.sheet,
+            organisation,
+            self.body(),
+            self.request.headers.get("Idempotency-Key", ""),
+            parse_wait_s(self.request.headers.get("Prefer", "")),
+        )
+        if not is_successful(result):
+            self.send_outcome(result.failure())
+            return
+        await self.run(result.unwrap())
+
+
+class PlainServiceHandler(CallerHandler):
+    """``ANY /services/{service}/{path}``."""
+
+    async def get(self, service: str, rest: str | None = None) -> None:
+        """Run one request to a plain service."""
+        organisation = self.identify()
+        if organisation is None:
+            return
+        path = rest or ""
+        if self.request.query:
+            path += f"?{self.request.query}"
+        result = parse_plain_request(
+            self._scheduler.sheet,
+            organisation,
+            service,
+            self.request.method or "GET",
+            path,
+            self.request.headers.get("Content-Type", ""),
+            self.body(),
+            self.request.headers.get("Idempotency-Key", ""),
+            parse_wait_s(self.request.headers.get("Prefer", "")),
+        )
+        if not is_successful(result):
+            self.send_outcome(result.failure())
+            return
+        await self.run(result.unwrap())
+
+    post = get
+    put = get
+    patch = get
+    delete = get
+
+
+class ModelsHandler(CallerHandler):
+    """``GET /v1/models``: the services that chat completions can name."""
+
+    def get(self) -> None:
+        """List the model services in OpenAI's format."""
+        if self.identify() is None:
+            return
+        services = self._scheduler.sheet.services.values()
+        data = [
+            {"id": service.name, "object": "model", "owned_by": service.pool}
+            for service in services
+            if service.kind == KIND_MODEL
+        ]
+        self.set_header("Content-Type", "application/json")
+        self.finish(msgspec.json.encode({"object": "list", "data": data}))
+
+
+class OrderHandler(CallerHandler):
+    """``GET /v1/orders/{service}/{key}``: what became of an order."""
+
+    async def get(self, service: str, key: str) -> None:
+        """Answer with the stored response or the state of the order."""
+        organisation = self.identify()
+        if organisation is None:
+            return
+        outcome = await self._scheduler.order_outcome(organisation, service, key)
+        match outcome:
+            case Run(status=status, headers=headers, body=body):
+                self.set_status(status)
+                for name, value in headers:
+                    self.set_header(name, value)
+                self.set_header("Idempotent-Replayed", "true")
+                self.finish(body)
+            case NotRun() | NotKnown():
+                self.send_outcome(outcome)
+
+
+def caller_routes(
+    scheduler: Scheduler,
+) -> list[tuple[str, type[tornado.web.RequestHandler], dict[str, Scheduler]]]:
+    """Return the routes towards callers.
+
+    Parameters
+    ----------
+    scheduler : Scheduler
+        What serves the requests.
+
+    Returns
+    -------
+    list of tuple
+        Route specifications for `tornado.web.Application`.
+    """
+    argument = {"scheduler": scheduler}
+    return [
+        (r"/v1/chat/completions", ChatCompletionsHandler, argument),
+        (r"/v1/models", ModelsHandler, argument),
+        (r"/v1/orders/([^/]+)/([^/]+)", OrderHandler, argument),
+        (r"/services/([^/]+)(?:/(.*))?", PlainServiceHandler, argument),
+    ]
--- /dev/null
+++ b/src/pomelothread/entry/agents.py
@@ -0,0 +1,163 @@
+"""The agents that an entry hears, from their heartbeats."""
+
+from dataclasses import dataclass
+
+from ..clock import Clock
+from ..instance_list.membership import Membership
+from ..peers.messages import (
+    CLOSED,
+    MIN_PROTOCOL_VERSION,
+    PROTOCOL_VERSION,
+    AgentBeat,
+)
+from ..policy.routing import AgentView
+
+# Five heartbeats of 0.5 s.
+AGENT_SILENCE_S = 2.5
+# A silent agent is forgotten after this; until then its late grants and
+# answers can still be matched.
+AGENT_MEMORY_S = 60.0
+
+
+@dataclass(slots=True)
+class KnownAgent:
+    """An agent's last heartbeat and what this entry has there.
+
+    Parameters
+    ----------
+    beat : AgentBeat
+        The last heartbeat.
+    heard_at_s : float
+        Monotonic time at which it came.
+    n_offered : int
+        Offers of this entry that are open at the agent.
+    """
+
+    beat: AgentBeat
+    heard_at_s: float
+    n_offered: int = 0
+
+
+class AgentTable:
+    """Agents by incarnation.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of monotonic time.
+    membership : Membership
+        The instance list, which may say that an agent is leaving before the
+        agent itself does.
+    """
+
+    __slots__ = ("_agents", "_clock", "_membership")
+
+    def __init__(self, clock: Clock, membership: Membership) -> None:
+        self._clock = clock
+        self._membership = membership
+        self._agents: dict[str, KnownAgent] = {}
+
+    def hear(self, beat: AgentBeat) -> bool:
+        """Take in a heartbeat.
+
+        Parameters
+        ----------
+        beat : AgentBeat
+            As received.
+
+        Returns
+        -------
+        bool
+            True if the agent is new or was silent.
+        """
+        if beat.min_protocol_version > PROTOCOL_VERSION:
+            return False
+        if beat.protocol_version < MIN_PROTOCOL_VERSION:
+            return False
+        now_s = self._clock.monotonic_s()
+        known = self._agents.get(beat.incarnation)
+        if known is None:
+            self._agents[beat.incarnation] = KnownAgent(beat, now_s)
+            self._close_predecessors(beat)
+            return True
+        was_silent = now_s - known.heard_at_s > AGENT_SILENCE_S
+        known.beat = beat
+        known.heard_at_s = now_s
+        return was_silent
+
+    def get(self, incarnation: str) -> KnownAgent | None:
+        """Return an agent, or None if it was never heard or is forgotten."""
+        return self._agents.get(incarnation)
+
+    def is_silent(self, incarnation: str) -> bool:
+        """Whether an agent's heartbeat is overdue."""
+        known = self._agents.get(incarnation)
+        if known is None:
+            return True
+        return self._clock.monotonic_s() - known.heard_at_s > AGENT_SILENCE_S
+
+    def alive(self, pool: str) -> list[str]:
+        """Return the incarnations of a pool that are not silent, in any state."""
+        return [
+            incarnation
+            for incarnation, known in self._agents.items()
+            if known.beat.pool == pool and not self.is_silent(incarnation)
+        ]
+
+    def views(self, pool: str) -> list[AgentView]:
+        """Return what routing may look at for a pool.
+
+        Parameters
+        ----------
+        pool : str
+            Pool of upstreams.
+
+        Returns
+        -------
+        list of AgentView
+            Agents that are neither silent nor leaving.
+        """
+        leaving = {instance.name for instance in self._membership.leaving()}
+        return [
+            AgentView.from_beat(known.beat, known.heard_at_s, known.n_offered)
+            for incarnation, known in self._agents.items()
+            if known.beat.pool == pool
+            and known.beat.instance not in leaving
+            and not self.is_silent(incarnation)
+        ]
+
+    def forget_silent(self) -> list[KnownAgent]:
+        """Drop the agents that have been silent for long and return them."""
+        now_s = self._clock.monotonic_s()
+        gone = [
+            incarnation
+            for incarnation, known in self._agents.items()
+            if now_s - known.heard_at_s > AGENT_MEMORY_S
+        ]
+        return [self._agents.pop(incarnation) for incarnation in gone]
+
+    def all(self) -> list[KnownAgent]:
+        """Return all agents that are remembered."""
+        return list(self._agents.values())
+
+    def _close_predecessors(self, beat: AgentBeat) -> None:
+        # The slot's listening port admits one process, so another incarnation
+        # at the same address is dead. It is not waited for until it is silent.
+        for incarnation, known in self._agents.items():
+            same_slot = known.beat.http_address == beat.http_address
+            if incarnation != beat.incarnation and same_slot:
+                known.heard_at_s = float("-inf")
+                known.beat = _closed(known.beat)
+
+
+def _closed(beat: AgentBeat) -> AgentBeat:
+    return AgentBeat(
+        incarnation=beat.incarnation,
+        instance=beat.instance,
+        inbox=beat.inbox,
+        pool=beat.pool,
+        failure_domain=beat.failure_domain,
+        region=beat.region,
+        http_address=beat.http_address,
+        state=CLOSED,
+    )
--- /dev/null
+++ b/src/pomelothread/entry/offers.py
@@ -0,0 +1,202 @@
+"""Offers of waiting requests to agents, and the grants that come back."""
+
+import asyncio
+
+from ..clock import Clock
+from ..outcomes import NotRun, Reason
+from ..peers.control import ControlChannel
+from ..peers.messages import Decline, Floor, Grant, Offer, Refuse, Withdraw
+from ..policy.routing import choose_agents, schedule_offers
+from .agents import AgentTable
+from .waiting import Binding, WaitingRequest, WaitingRequests, shed_outcome
+
+SHED_RETRY_AFTER_S = 2.0
+
+
+class Offers:
+    """Offers waiting requests and binds each to the first grant.
+
+    Parameters
+    ----------
+    incarnation : str
+        The entry's incarnation.
+    channel : ControlChannel
+        To the agents.
+    agents : AgentTable
+        Which agents there are.
+    waiting : WaitingRequests
+        The requests without a place.
+    clock : Clock
+        Source of monotonic time.
+    """
+
+    __slots__ = (
+        "_agents",
+        "_channel",
+        "_clock",
+        "_delayed",
+        "_incarnation",
+        "_waiting",
+        "n_declined",
+    )
+
+    def __init__(
+        self,
+        incarnation: str,
+        channel: ControlChannel,
+        agents: AgentTable,
+        waiting: WaitingRequests,
+        clock: Clock,
+    ) -> None:
+        self._incarnation = incarnation
+        self._channel = channel
+        self._agents = agents
+        self._waiting = waiting
+        self._clock = clock
+        self._delayed: set[asyncio.Task[None]] = set()
+        self.n_declined = 0
+
+    def offer(self, request: WaitingRequest) -> None:
+        """Offer a request to the agents that routing chooses now.
+
+        Agents that have its offer already get it again, because a control
+        message may be lost.
+        """
+        now_s = self._clock.monotonic_s()
+        views = [
+            view
+            for view in self._agents.views(request.pool)
+            if view.incarnation not in request.excluded
+        ]
+        chosen = choose_agents(
+            request.facts, views, now_s, spread_seed=hash(request.request_id)
+        )
+        for incarnation, inbox in request.offered.items():
+            self._send(request, incarnation, inbox)
+        for scheduled in schedule_offers(request.facts, chosen, now_s):
+            agent = scheduled.agent
+            if agent.incarnation in request.offered:
+                continue
+            if scheduled.delay_s <= 0:
+                self._send(request, agent.incarnation, agent.inbox)
+                continue
+            task = asyncio.create_task(
+                self._send_later(
+                    request, agent.incarnation, agent.inbox, scheduled.delay_s
+                )
+            )
+            self._delayed.add(task)
+            task.add_done_callback(self._delayed.discard)
+
+    def offer_all(self) -> None:
+        """Repeat the offers of all waiting requests."""
+        for request in self._waiting:
+            self._drop_silent(request)
+            self.offer(request)
+
+    def withdraw(self, request: WaitingRequest, except_at: str = "") -> None:
+        """Take back the offers of a request.
+
+        Parameters
+        ----------
+        request : WaitingRequest
+            One that no longer waits.
+        except_at : str
+            Incarnation of the agent whose grant was accepted.
+        """
+        for incarnation, inbox in request.offered.items():
+            self._count(incarnation, -1)
+            if incarnation == except_at:
+                continue
+            self._channel.send(inbox, Withdraw(self._incarnation, request.request_id))
+        request.offered.clear()
+
+    def accept(self, grant: Grant) -> None:
+        """Bind the request to a grant, or decline it if it is not needed."""
+        known = self._agents.get(grant.incarnation)
+        if known is None:
+            return  # The grant expires by itself.
+        request = self._waiting.get(grant.request_id)
+        if request is not None and request.settle(Binding(grant)):
+            self._waiting.remove(request)
+            self.withdraw(request, except_at=grant.incarnation)
+            return
+        self.n_declined += 1
+        decline = Decline(self._incarnation, grant.request_id, grant.grant)
+        self._channel.send(known.beat.inbox, decline)
+
+    def refused(self, message: Refuse) -> None:
+        """Take in that an agent does not keep an offer."""
+        request = self._waiting.get(message.request_id)
+        if request is None:
+            return
+        if request.offered.pop(message.incarnation, None) is not None:
+            self._count(message.incarnation, -1)
+        match message.reason:
+            case "floor":
+                self._shed(request)
+            case "convicted":
+                detail = "The request has crashed upstreams; it did not run."
+                self._end(request, NotRun(Reason.CONVICTED, detail))
+            case _:
+                request.excluded.add(message.incarnation)
+                self.offer(request)
+
+    def apply_floors(self, floors: tuple[Floor, ...]) -> None:
+        """Shed what waits here below the floors that an agent reports."""
+        for floor in floors:
+            outcome = shed_outcome(SHED_RETRY_AFTER_S)
+            for request in self._waiting.shed_below(
+                floor.pool, floor.tier_rank, outcome
+            ):
+                self.withdraw(request)
+
+    def _shed(self, request: WaitingRequest) -> None:
+        self._end(request, shed_outcome(SHED_RETRY_AFTER_S))
+
+    def _end(self, request: WaitingRequest, outcome: NotRun) -> None:
+        self._waiting.remove(request)
+        request.settle(outcome)
+        self.withdraw(request)
+
+    def _drop_silent(self, request: WaitingRequest) -> None:
+        for incarnation in list(request.offered):
+            if self._agents.is_silent(incarnation):
+                del request.offered[incarnation]
+                self._count(incarnation, -1)
+
+    def _send(self, request: WaitingRequest, incarnation: str, inbox: str) -> None:
+        if incarnation not in request.offered:
+            request.offered[incarnation] = inbox
+            self._count(incarnation, +1)
+        facts = request.facts
+        left_s = request.deadline_at_s - self._clock.monotonic_s()
+        message = Offer(
+            incarnation=self._incarnation,
+            request_id=request.request_id,
+            pool=request.pool,
+            service=request.service,
+            tier_rank=facts.tier_rank,
+            protected=facts.protected,
+            organisation=request.organisation,
+            share=request.share,
+            n_input_tokens=facts.n_input_tokens,
+            n_output_tokens=facts.n_output_tokens,
+            deadline_ms=round(left_s * 1000),
+            prefix_hashes=facts.prefix_hashes,
+            solo=request.solo,
+        )
+        self._channel.send(inbox, message)
+
+    async def _send_later(
+        self, request: WaitingRequest, incarnation: str, inbox: str, delay_s: float
+    ) -> None:
+        await self._clock.sleep(delay_s)
+        still_waits = self._waiting.get(request.request_id) is request
+        if still_waits and incarnation not in request.offered:
+            self._send(request, incarnation, inbox)
+
+    def _count(self, incarnation: str, change: int) -> None:
+        known = self._agents.get(incarnation)
+        if known is not None:
+            known.n_offered += change
--- /dev/null
+++ b/src/pomelothread/entry/waiting.py
@@ -0,0 +1,169 @@
+"""Requests that wait at this entry for a place at some agent."""
+
+import asyncio
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from ..outcomes import NotRun, Reason
+from ..peers.messages import Grant
+from ..policy.routing import RequestFacts
+
+
+@dataclass(frozen=True, slots=True)
+class Binding:
+    """A grant that the entry has accepted for a request."""
+
+    grant: Grant
+
+
+@dataclass(slots=True)
+class WaitingRequest:
+    """A request without a place yet.
+
+    Parameters
+    ----------
+    request_id : str
+        Unique in the fleet.
+    pool, service, organisation : str
+        What it asks for, and for whom.
+    share : float
+        Weight of the organisation within its tier.
+    facts : RequestFacts
+        What routing looks at.
+    deadline_at_s : float
+        Monotonic time at which the answer is of no more use.
+    n_body_bytes : int
+        Memory that its body holds.
+    solo : bool
+        True if it has to run alone on its engine.
+    """
+
+    request_id: str
+    pool: str
+    service: str
+    organisation: str
+    share: float
+    facts: RequestFacts
+    deadline_at_s: float
+    n_body_bytes: int
+    solo: bool = False
+    settled: asyncio.Future[Binding | NotRun] = field(
+        default_factory=lambda: asyncio.get_running_loop().create_future()
+    )
+    offered: dict[str, str] = field(default_factory=dict)
+    excluded: set[str] = field(default_factory=set)
+    floor_requested: bool = False
+
+    @property
+    def protected(self) -> bool:
+        """Whether it may only be shed after all lower-tier work."""
+        return self.facts.protected
+
+    @property
+    def tier_rank(self) -> int:
+        """Rank of its tier; 0 is the most urgent."""
+        return self.facts.tier_rank
+
+    def settle(self, result: Binding | NotRun) -> bool:
+        """Fix how the wait ends; only the first call has an effect."""
+        if self.settled.done():
+            return False
+        self.settled.set_result(result)
+        return True
+
+
+class WaitingRequests:
+    """All waiting requests of one entry, ordered by rank and arrival.
+
+    Parameters
+    ----------
+    max_waiting : int
+        Number of requests that may wait.
+    max_waiting_bytes : int
+        Bytes of bodies that may be held.
+    """
+
+    __slots__ = ("_by_id", "_by_rank", "_max_bytes", "_max_waiting", "n_bytes")
+
+    def __init__(self, max_waiting: int, max_waiting_bytes: int) -> None:
+        self._max_waiting = max_waiting
+        self._max_bytes = max_waiting_bytes
+        self._by_id: dict[str, WaitingRequest] = {}
+        self._by_rank: dict[int, dict[str, WaitingRequest]] = {}
+        self.n_bytes = 0
+
+    def __len__(self) -> int:
+        return len(self._by_id)
+
+    def __iter__(self) -> Iterator[WaitingRequest]:
+        return iter(list(self._by_id.values()))
+
+    def get(self, request_id: str) -> WaitingRequest | None:
+        """Return a waiting request, or None if it does not wait here."""
+        return self._by_id.get(request_id)
+
+    def is_over(self) -> bool:
+        """Whether more is held than the bounds allow."""
+        return len(self) > self._max_waiting or self.n_bytes > self._max_bytes
+
+    def n_waiting(self, organisation: str) -> int:
+        """Count the waiting requests of an organisation."""
+        return sum(r.organisation == organisation for r in self._by_id.values())
+
+    def add(self, request: WaitingRequest) -> None:
+        """Hold a request, even over the bounds; see `evict_unprotected`."""
+        self._by_id[request.request_id] = request
+        self._by_rank.setdefault(request.tier_rank, {})[request.request_id] = request
+        self.n_bytes += request.n_body_bytes
+
+    def remove(self, request: WaitingRequest) -> None:
+        """Stop holding a request."""
+        if self._by_id.pop(request.request_id, None) is None:
+            return
+        self._by_rank[request.tier_rank].pop(request.request_id)
+        self.n_bytes -= request.n_body_bytes
+
+    def evict_unprotected(self, reject: NotRun) -> WaitingRequest | None:
+        """Settle the newest request of the lowest tier, unless it is protected.
+
+        Parameters
+        ----------
+        reject : NotRun
+            What its caller is told.
+
+        Returns
+        -------
+        WaitingRequest or None
+            The evicted one; None if only protected requests wait.
+        """
+        for rank in sorted(self._by_rank, reverse=True):
+            for request in reversed(self._by_rank[rank].values()):
+                if request.protected:
+                    continue
+                self.remove(request)
+                request.settle(reject)
+                return request
+        return None
+
+    def shed_below(
+        self, pool: str, tier_rank: int, reject: NotRun
+    ) -> list[WaitingRequest]:
+        """Settle all requests of a pool that rank below a floor."""
+        shed = [
+            request
+            for request in self._by_id.values()
+            if request.pool == pool and request.tier_rank > tier_rank
+        ]
+        for request in shed:
+            self.remove(request)
+            request.settle(reject)
+        return shed
+
+
+def shed_outcome(retry_after_s: float) -> NotRun:
+    """Return what the caller of a request that was shed is told."""
+    return NotRun(
+        Reason.OVERLOADED,
+        "The request was shed in favour of more urgent work; it did not run.",
+        retry_after_s,
+    )
--- a/src/pomelothread/peers/messages.py
+++ b/src/pomelothread/peers/messages.py
@@ -188,7 +188,7 @@
     return _encoder.encode(message)
 
 
-def decode_message(data: bytes) -> Message | None:
+def decode_message(data: bytes | msgspec.Raw) -> Message | None:
     """Decode a message.
 
     Parameters
