--- /dev/null
+++ b/src/pomelothread/policy/crashes.py
@@ -0,0 +1,292 @@
+"""Which requests are suspected or convicted of crashing engines."""
+
+from collections import OrderedDict
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from typing import Any
+
+CRASH_TOPIC = "crashes"
+RECORD_FORMAT = 1
+
+# A batch has some 100 requests and 9 instances fail on an ordinary day.
+MAX_SUSPECTS = 10_000
+MAX_EVENTS = 10_000
+# Heartbeats come every 0.5 s; what they say is kept over a restart of a peer.
+PEER_FACT_LIFE_S = 60.0
+
+
+@dataclass(frozen=True, slots=True)
+class CrashVerdict:
+    """What the death of an engine means.
+
+    Parameters
+    ----------
+    suspects : tuple of str
+        Fingerprints that must run alone from now on.
+    convicted : tuple of str
+        Fingerprints that must not run any more; at most one.
+    record : dict or None
+        Record to append to `CRASH_TOPIC`; None if nothing was running.
+    """
+
+    suspects: tuple[str, ...]
+    convicted: tuple[str, ...]
+    record: dict[str, Any] | None
+
+
+class CrashBook:
+    """Suspects and convicted requests, by the fingerprint of their bodies.
+
+    All requests that were running when an engine died are suspects and run
+    alone. A suspect whose engine dies while it runs alone is convicted; one
+    that finishes alone is cleared, as the neighbours of the cause will be.
+
+    State comes from three sources: events of this process, records of the log
+    (`fold`), and heartbeats of peers (`observe_peer`), which stand in while the
+    log is down. Folding is idempotent, and own events count at once, so a
+    record that is read back changes nothing.
+
+    Examples
+    --------
+    >>> book = CrashBook("agent-1")
+    >>> book.engine_died(["a", "b"], now_s=0.0).suspects
+    ('a', 'b')
+    >>> book.must_run_alone("a"), book.is_convicted("a")
+    (True, False)
+    >>> _ = book.finished("b", alone=True)
+    >>> book.engine_died(["a"], now_s=9.0).convicted
+    ('a',)
+    >>> book.is_convicted("a"), book.must_run_alone("b")
+    (True, False)
+    """
+
+    __slots__ = (
+        "_convicted",
+        "_events",
+        "_incarnation",
+        "_n_events",
+        "_peer_convicted",
+        "_peer_suspects",
+        "_releases",
+        "_suspects",
+    )
+
+    def __init__(self, incarnation: str) -> None:
+        self._incarnation = incarnation
+        self._n_events = 0
+        self._events: OrderedDict[str, None] = OrderedDict()
+        self._suspects: OrderedDict[str, None] = OrderedDict()
+        self._convicted: set[str] = set()
+        self._releases: dict[str, int] = {}
+        self._peer_suspects: dict[str, float] = {}
+        self._peer_convicted: dict[str, float] = {}
+
+    @property
+    def suspects(self) -> tuple[str, ...]:
+        """Suspects that this process knows of itself, for the heartbeat."""
+        return tuple(self._suspects)
+
+    @property
+    def convicted(self) -> tuple[str, ...]:
+        """Convicted ones that this process knows of itself, for the heartbeat."""
+        return tuple(sorted(self._convicted))
+
+    def engine_died(self, running: Sequence[str], now_s: float) -> CrashVerdict:
+        """Take in the death of the engine beside this process.
+
+        Parameters
+        ----------
+        running : sequence of str
+            Fingerprints of the requests that were running, one for each.
+        now_s : float
+            Monotonic time in seconds, written into the record for diagnosis.
+
+        Returns
+        -------
+        CrashVerdict
+            New suspects or a conviction, and the record for the log.
+        """
+        if not running:
+            return CrashVerdict((), (), None)
+        alone = len(running) == 1
+        fingerprints = tuple(dict.fromkeys(running))
+        convicts = alone and self.must_run_alone(fingerprints[0])
+        record = self._record(
+            "crash", fingerprints, convicts=convicts, monotonic_s=round(now_s, 3)
+        )
+        self.fold(record)
+        if convicts:
+            return CrashVerdict((), fingerprints, record)
+        return CrashVerdict(fingerprints, (), record)
+
+    def finished(self, fingerprint: str, alone: bool) -> dict[str, Any] | None:
+        """Take in the complete run of a request.
+
+        Parameters
+        ----------
+        fingerprint : str
+            Of its body.
+        alone : bool
+            Whether nothing else ran at any time while it did.
+
+        Returns
+        -------
+        dict or None
+            Record to append to `CRASH_TOPIC` if a suspect was cleared.
+        """
+        if not alone or not self.must_run_alone(fingerprint):
+            return None
+        record = self._record("cleared", (fingerprint,))
+        self.fold(record)
+        return record
+
+    def release(self, fingerprint: str, sheet_version: int) -> dict[str, Any] | None:
+        """Take in a `release` row that a new version of the sheet has added.
+
+        The release is recorded on the log, because a process that starts later
+        cannot tell from the sheet whether a crash happened before or after it.
+
+        Parameters
+        ----------
+        fingerprint : str
+            Of the body that may run again.
+        sheet_version : int
+            Version of the sheet that added the row.
+
+        Returns
+        -------
+        dict or None
+            Record to append to `CRASH_TOPIC`; None if it has been read already.
+        """
+        if self._releases.get(fingerprint, -1) >= sheet_version:
+            return None
+        record = self._record("released", (fingerprint,), sheet_version=sheet_version)
+        self.fold(record)
+        return record
+
+    def must_run_alone(self, fingerprint: str) -> bool:
+        """Return whether the request is a suspect."""
+        if self.is_convicted(fingerprint):
+            return False
+        return fingerprint in self._suspects or fingerprint in self._peer_suspects
+
+    def is_convicted(self, fingerprint: str) -> bool:
+        """Return whether the request must be refused."""
+        return fingerprint in self._convicted or fingerprint in self._peer_convicted
+
+    def fold(self, record: dict[str, Any]) -> bool:
+        """Apply a record of `CRASH_TOPIC`, in the order of offsets.
+
+        Parameters
+        ----------
+        record : dict
+            As read from the log.
+
+        Returns
+        -------
+        bool
+            False if the record is malformed or of a newer format, and ignored.
+        """
+        match record:
+            case {
+                "format": int(record_format),
+                "kind": str(),
+                "event": str(event),
+                "fingerprints": list(fingerprints),
+            } if record_format <= RECORD_FORMAT:
+                pass
+            case _:
+                return False
+        if event in self._events:
+            return True
+        self._events[event] = None
+        if len(self._events) > MAX_EVENTS:
+            self._events.popitem(last=False)
+        match record:
+            case {"kind": "crash", "convicts": True}:
+                self._convict(fingerprints)
+            case {"kind": "crash"}:
+                self._suspect(fingerprints)
+            case {"kind": "cleared"}:
+                self._clear(fingerprints)
+            case {"kind": "released", "sheet_version": int(version)}:
+                self._apply_release(fingerprints, version)
+            case _:
+                return False
+        return True
+
+    def observe_peer(
+        self,
+        suspects: Iterable[str],
+        convicted: Iterable[str],
+        sheet_version: int,
+        now_s: float,
+    ) -> None:
+        """Take in what a peer's heartbeat says.
+
+        Parameters
+        ----------
+        suspects, convicted : iterable of str
+            Fingerprints.
+        sheet_version : int
+            Version that the peer has in force; what it says of a request that
+            was released by a later version is ignored.
+        now_s : float
+            Monotonic time in seconds. Facts are forgotten `PEER_FACT_LIFE_S`
+            after the last heartbeat that contained them.
+        """
+        for facts, fingerprints in (
+            (self._peer_suspects, suspects),
+            (self._peer_convicted, convicted),
+        ):
+            for fingerprint in [f for f, until_s in facts.items() if until_s <= now_s]:
+                del facts[fingerprint]
+            for fingerprint in fingerprints:
+                if self._releases.get(fingerprint, -1) <= sheet_version:
+                    facts[fingerprint] = now_s + PEER_FACT_LIFE_S
+
+    def _record(
+        self, kind: str, fingerprints: Sequence[str], **fields: Any
+    ) -> dict[str, Any]:
+        """Build a record with a number that is unique in the fleet."""
+        self._n_events += 1
+        return {
+            "format": RECORD_FORMAT,
+            "kind": kind,
+            "event": f"{self._incarnation}/{self._n_events}",
+            "fingerprints": list(fingerprints),
+            **fields,
+        }
+
+    def _suspect(self, fingerprints: Iterable[str]) -> None:
+        for fingerprint in fingerprints:
+            if fingerprint in self._convicted:
+                continue
+            self._suspects[fingerprint] = None
+            self._suspects.move_to_end(fingerprint)
+        while len(self._suspects) > MAX_SUSPECTS:
+            self._suspects.popitem(last=False)
+
+    def _convict(self, fingerprints: Iterable[str]) -> None:
+        for fingerprint in fingerprints:
+            self._suspects.pop(fingerprint, None)
+            self._convicted.add(fingerprint)
+
+    def _clear(self, fingerprints: Iterable[str]) -> None:
+        for fingerprint in fingerprints:
+            self._suspects.pop(fingerprint, None)
+            self._peer_suspects.pop(fingerprint, None)
+
+    def _apply_release(self, fingerprints: Iterable[str], version: int) -> None:
+        """Forget what was known before the release.
+
+        Every process that sees the row may write the record, so the second and
+        later ones of the same version come after crashes that count.
+        """
+        for fingerprint in fingerprints:
+            if self._releases.get(fingerprint, -1) >= version:
+                continue
+            self._releases[fingerprint] = version
+            self._clear((fingerprint,))
+            self._convicted.discard(fingerprint)
+            self._peer_convicted.pop(fingerprint, None)
--- /dev/null
+++ b/src/pomelothread/policy/routing.py
@@ -0,0 +1,349 @@
+"""Which agents get an offer for a request, in which order and when."""
+
+import struct
+from collections import OrderedDict
+from collections.abc import Sequence
+from dataclasses import dataclass
+from hashlib import blake2b
+
+from .prediction import (
+    MAX_OFFERS,
+    N_OFFERS,
+    AgentView,
+    PoolRates,
+    RequestFacts,
+    pool_rates,
+    predict_finish_s,
+    predict_wait_s,
+)
+
+__all__ = [
+    "MAX_OFFERS",
+    "N_OFFERS",
+    "AgentView",
+    "OfferSchedule",
+    "RequestFacts",
+    "SeenPrefixes",
+    "choose_agents",
+    "offer_delay_s",
+    "prefix_hashes",
+    "schedule_offers",
+]
+
+# Prefixes of 256, 512, ... 8192 characters; about four characters are a token.
+FIRST_PREFIX_CHARS = 256
+N_PREFIXES = 6
+CHARS_PER_TOKEN = 4
+
+# An agent is preferred for a cached prefix while its load is at most this many
+# times the mean load of the pool (consistent hashing with bounded loads).
+MAX_AFFINITY_LOAD = 1.25
+# Weight of prefill that is saved against time lost: prefill that is computed
+# twice also takes capacity from other requests.
+AFFINITY_WEIGHT = 3.0
+
+# The regions share 1.5 MB/s each way. A streamed token costs about 250 bytes as
+# a server-sent event, so an answer of 250 tokens takes 42 ms of the link.
+BYTES_PER_INPUT_TOKEN = 4
+BYTES_PER_OUTPUT_TOKEN = 250
+MAX_CROSS_REGION_BYTES = 65_536
+MAX_CROSS_REGION_BYTES_PROTECTED = 262_144
+
+# A control round trip takes 0.55 ms at p99 within a failure domain and 2 ms
+# more between domains.
+MIN_OFFER_DELAY_S = 0.003
+MAX_OFFER_DELAY_S = 0.25
+# Share of the difference in predicted finish that is waited for a better agent.
+OFFER_DELAY_SHARE = 0.25
+MAX_DELAY_SHARE_OF_SLACK = 0.1
+CROSS_REGION_DELAY_S = 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class OfferSchedule:
+    """An agent, and how long after the decision its offer is sent."""
+
+    agent: AgentView
+    delay_s: float
+
+
+class SeenPrefixes:
+    """Prefixes that this entry has sent recently, bounded in number.
+
+    Tells how much of a prompt other requests share, which a single prompt does
+    not show. A prefix is forgotten when `max_prefixes` newer ones were seen.
+
+    Parameters
+    ----------
+    max_prefixes : int
+        How many prefixes are remembered; each takes about 100 bytes.
+    """
+
+    __slots__ = ("_max_prefixes", "_seen")
+
+    def __init__(self, max_prefixes: int = 10_000) -> None:
+        self._max_prefixes = max_prefixes
+        self._seen: OrderedDict[int, None] = OrderedDict()
+
+    def observe(self, hashes: Sequence[int]) -> int:
+        """Remember the prefixes of a prompt.
+
+        Parameters
+        ----------
+        hashes : sequence of int
+            As returned by `prefix_hashes`, shortest prefix first.
+
+        Returns
+        -------
+        int
+            How many of them had been seen before, for
+            `RequestFacts.n_seen_prefixes`.
+        """
+        n_seen = 0
+        for prefix in hashes:
+            if prefix in self._seen:
+                n_seen += 1
+                self._seen.move_to_end(prefix)
+            else:
+                self._seen[prefix] = None
+        while len(self._seen) > self._max_prefixes:
+            self._seen.popitem(last=False)
+        return n_seen
+
+
+def prefix_hashes(text: str) -> tuple[int, ...]:
+    """Hash prefixes of a prompt whose lengths double.
+
+    Parameters
+    ----------
+    text : str
+        The prompt, including the system message.
+
+    Returns
+    -------
+    tuple of int
+        One 63-bit number for each complete prefix of 256, 512, ... 8192
+        characters, shortest first; the same in every process.
+
+    Examples
+    --------
+    >>> prefix_hashes("short")
+    ()
+    >>> a, b = prefix_hashes("x" * 600), prefix_hashes("x" * 300)
+    >>> len(a), a[0] == b[0]
+    (2, True)
+    """
+    digest = blake2b(digest_size=8)
+    hashes: list[int] = []
+    start, end = 0, FIRST_PREFIX_CHARS
+    while end <= len(text) and len(hashes) < N_PREFIXES:
+        digest.update(text[start:end].encode("utf-8", "surrogatepass"))
+        hashes.append(int.from_bytes(digest.digest(), "big") >> 1)
+        start, end = end, 2 * end
+    return tuple(hashes)
+
+
+def choose_agents(
+    request: RequestFacts,
+    agents: Sequence[AgentView],
+    now_s: float,
+    *,
+    spread_seed: int = 0,
+) -> list[AgentView]:
+    """Choose the agents that get an offer, the preferred one first.
+
+    Agents are ordered by predicted finish, less the weighted prefill time that
+    a cached prefix saves. Agents of other regions are used only if there is no
+    usable one in the entry's region, or if none there can make the deadline and
+    the request is small enough for the link. Waiting requests should be
+    chosen for again with each heartbeat, since these conditions change.
+
+    Parameters
+    ----------
+    request : RequestFacts
+        The request.
+    agents : sequence of AgentView
+        The agents of its pool; those that are closed or silent are ignored.
+    now_s : float
+        Monotonic time in seconds.
+    spread_seed : int
+        A number for each request that decides between equal agents, so that
+        requests do not all go to the same one.
+
+    Returns
+    -------
+    list of AgentView
+        At most `N_OFFERS`, or `MAX_OFFERS` for protected work; empty if no
+        agent is usable.
+    """
+    usable = [agent for agent in agents if agent.is_usable(now_s)]
+    if not usable:
+        return []
+    rates = pool_rates(usable)
+    cached = _cached_tokens(request, usable)
+    n_offers = MAX_OFFERS if request.protected else N_OFFERS
+
+    def sort_key(agent: AgentView) -> tuple[float, int]:
+        n_cached = cached.get(agent.instance, 0)
+        finish_s = predict_finish_s(request, agent, rates, now_s, n_cached)
+        prefill_rate = agent.prefill_tokens_per_s or rates.prefill_tokens_per_s
+        bonus_s = (AFFINITY_WEIGHT - 1.0) * n_cached / prefill_rate
+        return finish_s - bonus_s, _weight(spread_seed, agent.instance)
+
+    own = [agent for agent in usable if agent.region == request.region]
+    own.sort(key=sort_key)
+    if own and not _may_cross(request, own, rates, now_s):
+        return own[:n_offers]
+    others = [agent for agent in usable if agent.region != request.region]
+    others.sort(key=sort_key)
+    if not others:
+        return own[:n_offers]
+    if not own:
+        return others[:n_offers]
+    n_others = 1 if n_offers == N_OFFERS else n_offers // 2
+    return own[: n_offers - min(n_others, len(others))] + others[:n_others]
+
+
+def schedule_offers(
+    request: RequestFacts, chosen: Sequence[AgentView], now_s: float
+) -> list[OfferSchedule]:
+    """Decide when each chosen agent gets its offer.
+
+    An idle slow agent would win the race for every request, since it grants at
+    once. So the offers to less preferred agents are sent later, by a share of
+    the time by which the request would finish later there.
+
+    Parameters
+    ----------
+    request : RequestFacts
+        The request.
+    chosen : sequence of AgentView
+        As returned by `choose_agents`.
+    now_s : float
+        Monotonic time in seconds.
+
+    Returns
+    -------
+    list of OfferSchedule
+        In the same order.
+    """
+    if not chosen:
+        return []
+    rates = pool_rates(chosen)
+    finishes_s = [predict_finish_s(request, agent, rates, now_s) for agent in chosen]
+    best_has_place = predict_wait_s(request, chosen[0], rates, now_s) == 0.0
+    slack_s = request.deadline_at_s - now_s - finishes_s[0]
+    schedule = []
+    for rank, agent in enumerate(chosen):
+        delay_s = offer_delay_s(
+            rank, finishes_s[rank] - finishes_s[0], slack_s, best_has_place
+        )
+        if agent.region != chosen[0].region:
+            delay_s = max(delay_s, CROSS_REGION_DELAY_S)
+        schedule.append(OfferSchedule(agent, delay_s))
+    return schedule
+
+
+def offer_delay_s(
+    rank_in_list: int,
+    extra_finish_s: float = 0.0,
+    slack_s: float = float("inf"),
+    best_has_place: bool = True,
+) -> float:
+    """Return how long after the decision an offer is sent.
+
+    Parameters
+    ----------
+    rank_in_list : int
+        Position in the list of `choose_agents`; 0 gives no delay.
+    extra_finish_s : float
+        How much later the request would finish there than at the best agent.
+    slack_s : float
+        Time to the deadline that the best agent would leave over; at most a
+        tenth of it is spent on waiting.
+    best_has_place : bool
+        Whether the best agent probably grants at once; if so, the other offers
+        are sent after at least one control round trip.
+
+    Returns
+    -------
+    float
+        Seconds.
+
+    Examples
+    --------
+    >>> offer_delay_s(0), offer_delay_s(1), offer_delay_s(1, extra_finish_s=0.4)
+    (0.0, 0.003, 0.1)
+    """
+    if rank_in_list == 0:
+        return 0.0
+    delay_s = min(
+        MAX_OFFER_DELAY_S,
+        OFFER_DELAY_SHARE * max(0.0, extra_finish_s),
+        MAX_DELAY_SHARE_OF_SLACK * max(0.0, slack_s),
+    )
+    return max(delay_s, MIN_OFFER_DELAY_S if best_has_place else 0.0)
+
+
+def _weight(number: int, instance: str) -> int:
+    """Return the rendezvous weight of an instance for a number.
+
+    The hash of the language is seeded in each process, and all entries must
+    agree on the instance for a prefix.
+    """
+    key = struct.pack(">q", number & 0x7FFF_FFFF_FFFF_FFFF)
+    return int.from_bytes(
+        blake2b(instance.encode(), digest_size=8, key=key).digest(), "big"
+    )
+
+
+def _cached_tokens(
+    request: RequestFacts, usable: Sequence[AgentView]
+) -> dict[str, int]:
+    """Predict which agent holds how many tokens of the prompt.
+
+    The longest prefix that was seen before is held by the first instance in its
+    rendezvous order that is not overloaded. A prompt with no prefix that was
+    seen before is sent where its shortest one belongs, which costs nothing and
+    brings the next prompt like it to the same cache.
+    """
+    if not request.prefix_hashes:
+        return {}
+    n_seen = min(request.n_seen_prefixes, len(request.prefix_hashes))
+    prefix = request.prefix_hashes[max(0, n_seen - 1)]
+    n_tokens = (FIRST_PREFIX_CHARS << max(0, n_seen - 1)) // CHARS_PER_TOKEN
+    loads = {agent.instance: _load(agent) for agent in usable}
+    max_load = MAX_AFFINITY_LOAD * sum(loads.values()) / len(loads)
+    for agent in sorted(
+        usable, key=lambda agent: _weight(prefix, agent.instance), reverse=True
+    ):
+        is_near = agent.region == request.region
+        if is_near and loads[agent.instance] <= max(max_load, 1.0):
+            return {agent.instance: min(n_tokens, request.n_input_tokens)}
+    return {}
+
+
+def _load(agent: AgentView) -> float:
+    """Return work in places: 1 means that all places are used."""
+    n_used = agent.n_places - agent.n_free_places
+    n_waiting = max(sum(agent.waiting_by_rank.values()), agent.n_offered)
+    return (n_used + n_waiting / N_OFFERS) / max(1, agent.n_places)
+
+
+def _may_cross(
+    request: RequestFacts, own: Sequence[AgentView], rates: PoolRates, now_s: float
+) -> bool:
+    """Return whether the request may leave the region although it has agents."""
+    n_bytes = (
+        request.n_input_tokens * BYTES_PER_INPUT_TOKEN
+        + request.n_output_tokens * BYTES_PER_OUTPUT_TOKEN
+    )
+    max_bytes = (
+        MAX_CROSS_REGION_BYTES_PROTECTED
+        if request.protected
+        else MAX_CROSS_REGION_BYTES
+    )
+    if n_bytes > max_bytes:
+        return False
+    best_s = min(predict_finish_s(request, agent, rates, now_s) for agent in own)
+    return now_s + best_s > request.deadline_at_s
--- /dev/null
+++ b/src/pomelothread/policy/shedding.py
@@ -0,0 +1,368 @@
+"""Early rejection by estimate, and floors for protected work."""
+
+from collections.abc import Iterable, Iterator, Sequence
+from dataclasses import dataclass
+
+from ..outcomes import Reason
+from ..peers.messages import Floor
+from .prediction import (
+    N_OFFERS,
+    AgentView,
+    RequestFacts,
+    pool_rates,
+    predict_finish_s,
+)
+
+FLOOR_LIFE_S = 1.0
+# Three control round trips between regions, with a few dozen ms each way.
+FLOOR_LEAD_S = 0.25
+
+MIN_RETRY_AFTER_S = 1.0
+MAX_RETRY_AFTER_S = 60.0
+# `Retry-After` has whole seconds, so the jitter must span several of them.
+MIN_RETRY_SPREAD_S = 3.0
+# Estimates err by the unknown length of answers; a request is rejected only if
+# it would miss its deadline by this factor.
+ADMIT_MARGIN = 1.25
+
+
+@dataclass(frozen=True, slots=True)
+class WaitingSummary:
+    """What waits in the entry.
+
+    Parameters
+    ----------
+    n_waiting : int
+        All requests.
+    n_waiting_of_organisation : int
+        Requests of the organisation in question.
+    n_waiting_bytes : int
+        Bodies of all requests, in bytes.
+    lowest_rank : int or None
+        Highest rank number among them; None if nothing waits.
+    """
+
+    n_waiting: int = 0
+    n_waiting_of_organisation: int = 0
+    n_waiting_bytes: int = 0
+    lowest_rank: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """Bounds on what may wait in the entry.
+
+    Parameters
+    ----------
+    max_waiting : int
+        All requests.
+    max_waiting_of_organisation : int
+        Requests of the organisation in question, from the sheet.
+    max_waiting_bytes : int
+        Bodies of all requests, in bytes.
+    """
+
+    max_waiting: int
+    max_waiting_of_organisation: int
+    max_waiting_bytes: int
+
+
+@dataclass(frozen=True, slots=True)
+class Admit:
+    """The request may wait.
+
+    `must_evict` is True if the entry is full: another request has to be shed
+    first, the newest of the lowest tier.
+    """
+
+    must_evict: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Reject:
+    """The request is not run."""
+
+    reason: Reason
+    retry_after_s: float
+
+
+def retry_after_s(n_ahead: float, drain_per_s: float, jitter: float) -> float:
+    """Estimate when a request that was shed has a chance again.
+
+    Parameters
+    ----------
+    n_ahead : float
+        Requests that wait before it.
+    drain_per_s : float
+        Requests that the pool finishes each second; 0 if not known.
+    jitter : float
+        Random number in [0, 1). It spreads the callers over as much time again
+        as the waiting work takes, at least `MIN_RETRY_SPREAD_S`, because those
+        that come back together are shed together.
+
+    Returns
+    -------
+    float
+        Seconds, from `MIN_RETRY_AFTER_S` to `MAX_RETRY_AFTER_S` and the jitter.
+
+    Examples
+    --------
+    >>> retry_after_s(100, drain_per_s=20.0, jitter=0.0)
+    5.0
+    >>> retry_after_s(100, drain_per_s=20.0, jitter=0.5)
+    7.5
+    """
+    base_s = MIN_RETRY_AFTER_S
+    if drain_per_s > 0.0:
+        base_s = min(MAX_RETRY_AFTER_S, max(base_s, n_ahead / drain_per_s))
+    return base_s + jitter * max(base_s, MIN_RETRY_SPREAD_S)
+
+
+def estimate_finish_s(
+    request: RequestFacts, agents: Sequence[AgentView], now_s: float
+) -> float:
+    """Estimate the time from now to the last token at the best agent.
+
+    Parameters
+    ----------
+    request : RequestFacts
+        The request.
+    agents : sequence of AgentView
+        The agents of its pool.
+    now_s : float
+        Monotonic time in seconds.
+
+    Returns
+    -------
+    float
+        Seconds; infinity if no agent is usable.
+    """
+    usable = [agent for agent in agents if agent.is_usable(now_s)]
+    if not usable:
+        return float("inf")
+    rates = pool_rates(usable)
+    return min(predict_finish_s(request, agent, rates, now_s) for agent in usable)
+
+
+def admit(
+    request: RequestFacts,
+    agents: Sequence[AgentView],
+    waiting: WaitingSummary,
+    limits: Limits,
+    now_s: float,
+    *,
+    jitter: float = 0.5,
+) -> Admit | Reject:
+    """Decide whether a request that has just arrived may wait.
+
+    Protected work is never rejected here: when the entry is full of protected
+    work, the caller of this function has to raise a floor first.
+
+    Parameters
+    ----------
+    request : RequestFacts
+        The request.
+    agents : sequence of AgentView
+        The agents of its pool.
+    waiting : WaitingSummary
+        What waits in the entry.
+    limits : Limits
+        Bounds on that.
+    now_s : float
+        Monotonic time in seconds.
+    jitter : float
+        Random number in [0, 1) for `retry_after_s`.
+
+    Returns
+    -------
+    Admit or Reject
+        What to do.
+    """
+    is_full = (
+        waiting.n_waiting >= limits.max_waiting
+        or waiting.n_waiting_bytes >= limits.max_waiting_bytes
+    )
+    if request.protected:
+        return Admit(must_evict=is_full)
+    usable = [agent for agent in agents if agent.is_usable(now_s)]
+    if not usable:
+        return Reject(Reason.NO_UPSTREAM, retry_after_s(0.0, 0.0, jitter))
+    drain_per_s = _drain_per_s(usable)
+    n_ahead = max(waiting.n_waiting, _n_ahead(request, usable))
+    retry_s = retry_after_s(n_ahead, drain_per_s, jitter)
+    if waiting.n_waiting_of_organisation >= limits.max_waiting_of_organisation:
+        own_s = retry_after_s(waiting.n_waiting_of_organisation, drain_per_s, jitter)
+        return Reject(Reason.ORGANISATION_LIMIT, own_s)
+    left_s = request.deadline_at_s - now_s
+    if estimate_finish_s(request, usable, now_s) > ADMIT_MARGIN * left_s:
+        return Reject(Reason.DEADLINE_UNREACHABLE, retry_s)
+    if not is_full:
+        return Admit()
+    if waiting.lowest_rank is None or waiting.lowest_rank <= request.tier_rank:
+        return Reject(Reason.OVERLOADED, retry_s)
+    return Admit(must_evict=True)
+
+
+def _drain_per_s(usable: Sequence[AgentView]) -> float:
+    """Estimate how many requests the agents finish each second; 0 if unknown."""
+    return sum(
+        agent.n_places / agent.service_time_s
+        for agent in usable
+        if agent.service_time_s > 0.0
+    )
+
+
+def _n_ahead(request: RequestFacts, usable: Sequence[AgentView]) -> float:
+    """Estimate how many requests of the pool wait before this one."""
+    n_offers = sum(
+        count
+        for agent in usable
+        for rank, count in agent.waiting_by_rank.items()
+        if rank <= request.tier_rank
+    )
+    return n_offers / min(N_OFFERS, len(usable))
+
+
+class FloorBook:
+    """Floors in force: a floor sheds waiting work of a rank above its own.
+
+    Floors of one pool with different ranks are held beside each other, because
+    the stricter one may expire first.
+    """
+
+    __slots__ = ("_expiries_s",)
+
+    def __init__(self) -> None:
+        self._expiries_s: dict[tuple[str, int], float] = {}
+
+    def raise_floor(
+        self, pool: str, tier_rank: int, now_s: float, life_s: float = FLOOR_LIFE_S
+    ) -> None:
+        """Put a floor in force for `life_s`; never shortens one in force.
+
+        Parameters
+        ----------
+        pool : str
+            Pool of upstreams.
+        tier_rank : int
+            Highest rank number that is still kept.
+        now_s : float
+            Monotonic time in seconds.
+        life_s : float
+            Seconds that it stays in force.
+        """
+        floor = (pool, tier_rank)
+        expiry_s = max(now_s + life_s, self._expiries_s.get(floor, 0.0))
+        self._expiries_s[floor] = expiry_s
+
+    def is_below(self, pool: str, tier_rank: int, now_s: float) -> bool:
+        """Return whether waiting work of a rank is shed now."""
+        return any(
+            held_pool == pool and held_rank < tier_rank and now_s < expiry_s
+            for (held_pool, held_rank), expiry_s in self._expiries_s.items()
+        )
+
+    def active(self, now_s: float) -> tuple[Floor, ...]:
+        """Return the floors in force for a heartbeat, and drop expired ones."""
+        self._expiries_s = {
+            floor: expiry_s
+            for floor, expiry_s in self._expiries_s.items()
+            if expiry_s > now_s
+        }
+        return tuple(
+            Floor(pool, rank, max(1, round(1000.0 * (expiry_s - now_s))))
+            for (pool, rank), expiry_s in self._expiries_s.items()
+        )
+
+
+class ProtectedShed:
+    """Progress of one floor request, which precedes the shed of protected work.
+
+    A protected request may be shed only while every agent of the pool that is
+    alive holds the floor. One object serves all requests of a pool and rank.
+
+    Parameters
+    ----------
+    pool : str
+        Pool of upstreams.
+    tier_rank : int
+        Rank of the protected request.
+    agents : iterable of str
+        Incarnations of all agents of the pool that are not known to be dead,
+        also those that get no offers.
+    numbers : iterator of int
+        Source of floor numbers, shared by all objects of the entry.
+    """
+
+    __slots__ = ("_asks", "_held_until_s", "_numbers", "pool", "tier_rank")
+
+    def __init__(
+        self, pool: str, tier_rank: int, agents: Iterable[str], numbers: Iterator[int]
+    ) -> None:
+        self.pool = pool
+        self.tier_rank = tier_rank
+        self._numbers = numbers
+        # For each agent, when each floor number was sent to it.
+        self._asks: dict[str, dict[int, float]] = {agent: {} for agent in agents}
+        self._held_until_s: dict[str, float] = {}
+
+    def to_ask(self, now_s: float, repeat_s: float = 0.1) -> list[tuple[str, int]]:
+        """Return the agents that `RaiseFloor` must be sent to now.
+
+        Those that have not confirmed are asked again after `repeat_s`, since
+        messages can be lost, and so are those whose floor has half expired.
+
+        Parameters
+        ----------
+        now_s : float
+            Monotonic time in seconds; taken as the time of sending.
+        repeat_s : float
+            Seconds between two messages to the same agent.
+
+        Returns
+        -------
+        list of (str, int)
+            Incarnations, each with a new floor number.
+        """
+        due = []
+        for agent, asks in self._asks.items():
+            if asks and now_s - max(asks.values()) < repeat_s:
+                continue
+            if self._held_until_s.get(agent, now_s) - now_s > FLOOR_LIFE_S / 2.0:
+                continue
+            for number in [n for n, at_s in asks.items() if now_s - at_s > 2.5]:
+                del asks[number]
+            number = next(self._numbers)
+            asks[number] = now_s
+            due.append((agent, number))
+        return due
+
+    def confirmed(self, agent: str, floor_number: int) -> None:
+        """Take in `FloorRaised`.
+
+        The life of the floor is counted from the sending of the message that is
+        confirmed: the agent has raised it later, so it holds at least as long.
+        """
+        asked_at_s = self._asks.get(agent, {}).get(floor_number)
+        if asked_at_s is None:
+            return
+        held_until_s = asked_at_s + FLOOR_LIFE_S
+        self._held_until_s[agent] = max(
+            held_until_s, self._held_until_s.get(agent, held_until_s)
+        )
+
+    def agent_died(self, agent: str) -> None:
+        """Stop waiting for an agent that has no heartbeat any more."""
+        self._asks.pop(agent, None)
+        self._held_until_s.pop(agent, None)
+
+    def agent_appeared(self, agent: str) -> None:
+        """Wait for another agent too: it may keep offers of lower tiers."""
+        self._asks.setdefault(agent, {})
+
+    def may_shed(self, now_s: float) -> bool:
+        """Return whether protected work may be shed at `now_s`."""
+        return all(
+            agent in self._held_until_s and now_s < self._held_until_s[agent]
+            for agent in self._asks
+        )
