Add numbered events, tracing and metrics

Operators had nothing to watch. Events have numbers and a catalogue that a test compares with the code and with the fields of every call. Tracing imports only OpenTelemetry's API when it is off: the SDK adds 1.8 MiB and the OTLP exporter 4.5 MiB. Metrics keep plain numbers and hdrhistograms and leave the text format to prometheus_client (1.9 MiB), whose own counter takes 1.06 us.

--- /dev/null
+++ b/src/pomelothread/events.py
@@ -0,0 +1,349 @@
+"""Numbered log events, and how they are written.
+
+docs/events.md explains each event to operators. Numbers are never reused: 1xx
+entry, 2xx agent, 3xx log and claims, 4xx sheet, 5xx membership and messages,
+6xx upstreams, 7xx the process itself.
+"""
+
+import logging
+import re
+import sys
+from datetime import UTC, datetime
+from enum import Enum
+from typing import Any, TextIO
+
+import msgspec
+
+from .settings import LoggingSettings
+
+_FIELD = re.compile(r"%\((\w+)\)s")
+
+
+class Event(Enum):
+    """What is logged; the value is (number, level, template)."""
+
+    ENTRY_STARTED = (
+        101,
+        logging.INFO,
+        "entry started, incarnation %(incarnation)s, HTTP on %(http_address)s, "
+        "control on %(control_address)s",
+    )
+    ENTRY_READY = (102, logging.INFO, "entry ready with sheet %(sheet_version)s")
+    ENTRY_DRAINING = (
+        103,
+        logging.INFO,
+        "entry draining, %(n_waiting)s requests waiting, %(n_running)s running",
+    )
+    ENTRY_STOPPED = (104, logging.INFO, "entry stopped after %(uptime_s)s s")
+    REQUEST_SHED = (
+        110,
+        logging.INFO,
+        "request %(request_id)s of %(organisation)s for %(service)s not run: "
+        "%(reason)s",
+    )
+    OUTCOME_NOT_KNOWN = (
+        111,
+        logging.WARNING,
+        "outcome of request %(request_id)s of %(organisation)s for %(service)s is "
+        "not known: %(reason)s at agent %(agent)s",
+    )
+    STREAM_CUT = (
+        112,
+        logging.WARNING,
+        "response to request %(request_id)s for %(service)s was cut after "
+        "%(n_bytes)s bytes by agent %(agent)s",
+    )
+    FLOOR_REQUESTED = (
+        113,
+        logging.WARNING,
+        "asked all agents of pool %(pool)s to shed work below tier rank %(tier_rank)s",
+    )
+    AGENT_STARTED = (
+        201,
+        logging.INFO,
+        "agent of pool %(pool)s started, incarnation %(incarnation)s, HTTP on "
+        "%(http_address)s, control on %(control_address)s",
+    )
+    AGENT_READY = (202, logging.INFO, "agent ready with sheet %(sheet_version)s")
+    AGENT_DRAINING = (
+        203,
+        logging.INFO,
+        "agent draining, %(n_waiting)s offers returned, %(n_running)s running",
+    )
+    AGENT_STOPPED = (204, logging.INFO, "agent stopped after %(uptime_s)s s")
+    GRANT_EXPIRED = (
+        210,
+        logging.INFO,
+        "grant %(grant)s for request %(request_id)s expired unused",
+    )
+    DISPATCH_REFUSED = (
+        211,
+        logging.WARNING,
+        "dispatch of request %(request_id)s refused: grant %(grant)s is %(cause)s",
+    )
+    PLACE_LIMIT_CHANGED = (
+        212,
+        logging.INFO,
+        "places changed from %(n_places_before)s to %(n_places)s at a token gap of "
+        "%(token_gap_s)s s",
+    )
+    FLOOR_RAISED = (
+        213,
+        logging.WARNING,
+        "floor of pool %(pool)s raised to tier rank %(tier_rank)s, %(n_refused)s "
+        "offers refused",
+    )
+    LOG_UNREACHABLE = (
+        301,
+        logging.WARNING,
+        "log unreachable for topic %(topic)s: %(detail)s",
+    )
+    LOG_BACK = (
+        302,
+        logging.INFO,
+        "log reachable again for topic %(topic)s after %(outage_s)s s",
+    )
+    LOG_RECORDS_EXPIRED = (
+        303,
+        logging.ERROR,
+        "%(n_expired)s records of topic %(topic)s were deleted before they were read",
+    )
+    LOG_RECORD_SKIPPED = (
+        304,
+        logging.ERROR,
+        "record at offset %(offset)s of topic %(topic)s skipped: %(detail)s",
+    )
+    CLAIM_CONFLICT = (
+        310,
+        logging.INFO,
+        "claim of key %(key_digest)s of %(service)s lost to %(claimant)s",
+    )
+    CLAIM_UNAVAILABLE = (
+        311,
+        logging.WARNING,
+        "key %(key_digest)s of %(service)s cannot be claimed: %(detail)s",
+    )
+    CLAIM_UNFINISHED = (
+        312,
+        logging.WARNING,
+        "claim of key %(key_digest)s of %(service)s by %(claimant)s has no result",
+    )
+    KEY_REUSED = (
+        313,
+        logging.WARNING,
+        "key %(key_digest)s of %(service)s was used again with another body by "
+        "%(organisation)s",
+    )
+    CRASH_SUSPECT = (
+        320,
+        logging.WARNING,
+        "request body %(fingerprint)s was running when an upstream died, %(n_crashes)s "
+        "times so far",
+    )
+    CRASH_CONVICTED = (
+        321,
+        logging.ERROR,
+        "request body %(fingerprint)s crashed an upstream while running alone; refused",
+    )
+    SHEET_ACCEPTED = (
+        401,
+        logging.INFO,
+        "sheet %(sheet_version)s of %(operator)s in force, digest %(digest)s",
+    )
+    SHEET_IGNORED = (
+        402,
+        logging.WARNING,
+        "sheet record at offset %(offset)s of %(operator)s ignored: its base is "
+        "%(base_version)s, in force is %(sheet_version)s",
+    )
+    SHEET_REJECTED = (
+        403,
+        logging.ERROR,
+        "sheet record at offset %(offset)s rejected: %(detail)s",
+    )
+    SHEET_FROM_PEER = (
+        404,
+        logging.WARNING,
+        "sheet %(sheet_version)s taken from peer %(peer)s, the log is unreachable",
+    )
+    LIST_UNREACHABLE = (
+        501,
+        logging.WARNING,
+        "instance list unreachable, the last copy stays in use: %(detail)s",
+    )
+    LIST_BACK = (
+        502,
+        logging.INFO,
+        "instance list reachable again after %(outage_s)s s",
+    )
+    PEER_UP = (503, logging.INFO, "peer %(instance)s at %(address)s is up")
+    PEER_DOWN = (
+        504,
+        logging.WARNING,
+        "peer %(instance)s at %(address)s is down: %(cause)s",
+    )
+    PEER_INCOMPATIBLE = (
+        505,
+        logging.ERROR,
+        "peer %(instance)s speaks protocol %(min_protocol_version)s to "
+        "%(protocol_version)s and is not used",
+    )
+    MESSAGE_DROPPED = (
+        510,
+        logging.WARNING,
+        "%(n_messages)s control messages of an unknown kind dropped",
+    )
+    UPSTREAM_DOWN = (601, logging.ERROR, "upstream %(url)s is down: %(detail)s")
+    UPSTREAM_UP = (602, logging.INFO, "upstream %(url)s is up")
+    COMMAND_DONE = (
+        610,
+        logging.INFO,
+        "upstream carried out %(command)s with fencing token %(fencing_token)s",
+    )
+    COMMAND_FAILED = (
+        611,
+        logging.ERROR,
+        "upstream failed %(command)s with fencing token %(fencing_token)s: %(detail)s",
+    )
+    CACHE_EVENTS_MISSED = (
+        612,
+        logging.INFO,
+        "%(n_batches)s batches of cache events missed; the cache view starts anew",
+    )
+    INVARIANT_BROKEN = (
+        701,
+        logging.CRITICAL,
+        "invariant broken, the process stops: %(detail)s",
+    )
+
+    @property
+    def number(self) -> int:
+        """Number in the catalogue."""
+        return self.value[0]
+
+    @property
+    def level(self) -> int:
+        """Level as in `logging`."""
+        return self.value[1]
+
+    @property
+    def template(self) -> str:
+        """Text with ``%(field)s`` for each field."""
+        return self.value[2]
+
+    @property
+    def fields(self) -> tuple[str, ...]:
+        """Names of the fields, in the order of the text."""
+        return tuple(_FIELD.findall(self.template))
+
+
+def log_event(
+    logger: logging.Logger,
+    event: Event,
+    /,
+    *,
+    exc_info: BaseException | None = None,
+    **fields: object,
+) -> None:
+    """Log an event.
+
+    Parameters
+    ----------
+    logger : logging.Logger
+        Logger of the calling module.
+    event : Event
+        What happened.
+    exc_info : BaseException or None
+        Exception whose traceback is logged too.
+    **fields : object
+        Exactly the fields of the event; a test checks every call.
+    """
+    if not logger.isEnabledFor(event.level):
+        return
+    logger.log(
+        event.level, event.template, fields, exc_info=exc_info, extra={"event": event}
+    )
+
+
+class JsonFormatter(logging.Formatter):
+    """Formats a record as one JSON object.
+
+    Members: `time` (UTC, RFC 3339), `level`, `logger`, `instance`, `text`; for
+    an event also `event` (number), `name` and `fields`; `traceback` if there is
+    one.
+
+    Parameters
+    ----------
+    instance : str
+        Name of the instance.
+    """
+
+    def __init__(self, instance: str) -> None:
+        super().__init__()
+        self._instance = instance
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return the record as JSON without a line break."""
+        line: dict[str, Any] = {
+            "time": datetime.fromtimestamp(record.created, UTC),
+            "level": record.levelname.lower(),
+            "logger": record.name,
+            "instance": self._instance,
+            "text": record.getMessage(),
+        }
+        event = getattr(record, "event", None)
+        if isinstance(event, Event):
+            line["event"] = event.number
+            line["name"] = event.name
+            line["fields"] = record.args
+        if record.exc_info:
+            line["traceback"] = self.formatException(record.exc_info)
+        # Fields may hold anything that has a text, such as addresses and enums.
+        return msgspec.json.encode(line, enc_hook=str).decode()
+
+
+class TextFormatter(logging.Formatter):
+    """Formats a record as a line of text for a terminal.
+
+    Parameters
+    ----------
+    instance : str
+        Name of the instance.
+    """
+
+    def __init__(self, instance: str) -> None:
+        super().__init__(
+            f"%(asctime)s %(levelname)-8s {instance.replace('%', '%%')} "
+            "%(number)s %(message)s"
+        )
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return the record as text, with the event's number or ``---``."""
+        event = getattr(record, "event", None)
+        record.number = event.number if isinstance(event, Event) else "---"
+        return super().format(record)
+
+
+def setup_logging(
+    settings: LoggingSettings, instance: str, stream: TextIO | None = None
+) -> None:
+    """Send all records of the process to one stream.
+
+    Parameters
+    ----------
+    settings : LoggingSettings
+        Level and format.
+    instance : str
+        Name of the instance.
+    stream : TextIO or None
+        Where lines go; stderr by default.
+    """
+    handler = logging.StreamHandler(stream or sys.stderr)
+    handler.setFormatter(
+        JsonFormatter(instance)
+        if settings.format == "json"
+        else TextFormatter(instance)
+    )
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(settings.level.upper())
--- /dev/null
+++ b/src/pomelothread/metrics.py
@@ -0,0 +1,311 @@
+"""Counters, gauges and histograms in the Prometheus text format.
+
+prometheus_client renders, and reports memory and CPU time of the process. Its
+own counters take a lock and 1.1 us for each update, and its summaries have no
+quantiles, so values are held here: plain numbers, and hdrhistogram for times.
+"""
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from typing import Any, Generic, TypeVar
+
+from hdrh.histogram import HdrHistogram
+from prometheus_client import CollectorRegistry, ProcessCollector
+from prometheus_client.exposition import CONTENT_TYPE_PLAIN_0_0_4, generate_latest
+from prometheus_client.metrics_core import Metric
+
+from .clock import Clock
+
+CONTENT_TYPE = CONTENT_TYPE_PLAIN_0_0_4
+PREFIX = "pomelothread_"
+QUANTILES = (0.5, 0.9, 0.99, 0.999)
+
+# With 17,000 organisations a label with their names would fill the memory of
+# the process; series above this number are counted together as `OTHER`.
+MAX_SERIES = 500
+OTHER = "other"
+
+# Quantiles cover the last one to two windows, since those of a whole lifetime
+# no longer show a straggler after a day.
+WINDOW_S = 60.0
+
+# Two digits hold a relative error under 1% in 30 KiB for each histogram; three
+# digits take 180 KiB.
+_N_DIGITS = 2
+
+
+class Counter:
+    """A number that only grows.
+
+    Examples
+    --------
+    >>> counter = Counter()
+    >>> counter.add()
+    >>> counter.value
+    1
+    """
+
+    __slots__ = ("value",)
+
+    def __init__(self) -> None:
+        self.value: float = 0
+
+    def add(self, n: float = 1) -> None:
+        """Add `n`, which must not be negative."""
+        self.value += n
+
+
+class Gauge:
+    """A number that is set, or that a function returns when it is read."""
+
+    __slots__ = ("_read", "_value")
+
+    def __init__(self) -> None:
+        self._value: float = 0
+        self._read: Callable[[], float] | None = None
+
+    @property
+    def value(self) -> float:
+        """The number now."""
+        return self._value if self._read is None else self._read()
+
+    def set(self, value: float) -> None:
+        """Set the number."""
+        self._value = value
+
+    def set_function(self, read: Callable[[], float]) -> None:
+        """Call `read` whenever the number is asked for."""
+        self._read = read
+
+
+class Histogram:
+    """Distribution of values from `resolution` to `maximum`.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of monotonic time.
+    resolution : float
+        Smallest difference that is kept, in the unit of the values.
+    maximum : float
+        Larger values count as this one.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_current",
+        "_largest",
+        "_previous",
+        "_scale",
+        "_window_end_s",
+        "count",
+        "total",
+    )
+
+    def __init__(self, clock: Clock, resolution: float, maximum: float) -> None:
+        self._clock = clock
+        self._scale = 1 / resolution
+        self._largest = round(maximum / resolution)
+        self._current = HdrHistogram(1, self._largest, _N_DIGITS)
+        self._previous = HdrHistogram(1, self._largest, _N_DIGITS)
+        self._window_end_s = clock.monotonic_s() + WINDOW_S
+        self.count = 0
+        self.total = 0.0
+
+    def observe(self, value: float) -> None:
+        """Record a value; a negative one counts as zero."""
+        if self._clock.monotonic_s() >= self._window_end_s:
+            self._rotate()
+        self.count += 1
+        self.total += value
+        self._current.record_value(
+            min(max(round(value * self._scale), 0), self._largest)
+        )
+
+    def quantiles(self, *quantiles: float) -> tuple[float, ...]:
+        """Return quantiles of the last one to two windows.
+
+        Parameters
+        ----------
+        *quantiles : float
+            Fractions from 0 to 1.
+
+        Returns
+        -------
+        tuple of float
+            A value for each; NaN if nothing was observed.
+        """
+        if self._clock.monotonic_s() >= self._window_end_s:
+            self._rotate()
+        merged = HdrHistogram(1, self._largest, _N_DIGITS)
+        merged.add(self._previous)
+        merged.add(self._current)
+        if not merged.get_total_count():
+            return (float("nan"),) * len(quantiles)
+        values = merged.get_percentile_to_value_dict([100 * q for q in quantiles])
+        return tuple(values[100 * q] / self._scale for q in quantiles)
+
+    def _rotate(self) -> None:
+        now_s = self._clock.monotonic_s()
+        # After a pause of a whole window, the current values are too old as well.
+        is_recent = now_s < self._window_end_s + WINDOW_S
+        self._previous, self._current = self._current, self._previous
+        self._current.reset()
+        if not is_recent:
+            self._previous.reset()
+        self._window_end_s = now_s + WINDOW_S
+
+
+S = TypeVar("S", Counter, Gauge, Histogram)
+
+
+class Family(Generic[S]):
+    """All series of one name.
+
+    Parameters
+    ----------
+    name : str
+        Name with its unit, without the common prefix.
+    help_text : str
+        One sentence.
+    label_names : tuple of str
+        Names of the labels.
+    make : callable
+        Returns a new series.
+    """
+
+    __slots__ = ("_make", "help_text", "label_names", "name", "series")
+
+    def __init__(
+        self,
+        name: str,
+        help_text: str,
+        label_names: tuple[str, ...],
+        make: Callable[[], S],
+    ) -> None:
+        self.name = name
+        self.help_text = help_text
+        self.label_names = label_names
+        self.series: dict[tuple[str, ...], S] = {}
+        self._make: Callable[[], S] = make
+
+    def labels(self, *values: str) -> S:
+        """Return the series of the label values.
+
+        Parameters
+        ----------
+        *values : str
+            A value for each label name.
+
+        Returns
+        -------
+        Counter, Gauge or Histogram
+            From `MAX_SERIES` on, the series whose labels are all `OTHER`.
+        """
+        series = self.series.get(values)
+        if series is not None:
+            return series
+        if len(values) != len(self.label_names):
+            raise ValueError(
+                f"{self.name} was given {len(values)} label values {values}, expected "
+                f"one for each of {self.label_names}; pass them in this order"
+            )
+        if len(self.series) >= MAX_SERIES:
+            values = (OTHER,) * len(values)
+        return self.series.setdefault(values, self._make())
+
+
+@dataclass(frozen=True, slots=True)
+class _Exposed:
+    """A family with the kind that it is rendered as."""
+
+    kind: str
+    family: Family[Any]
+
+    def metric(self) -> Metric:
+        metric = Metric(PREFIX + self.family.name, self.family.help_text, self.kind)
+        # A copy, since another series may be added while a function is called.
+        for values, series in list(self.family.series.items()):
+            labels = dict(zip(self.family.label_names, values, strict=True))
+            if isinstance(series, Histogram):
+                _add_summary(metric, labels, series)
+            else:
+                metric.add_sample(PREFIX + self.family.name, labels, series.value)
+        return metric
+
+
+def _add_summary(metric: Metric, labels: dict[str, str], series: Histogram) -> None:
+    for quantile, value in zip(QUANTILES, series.quantiles(*QUANTILES), strict=True):
+        metric.add_sample(metric.name, {**labels, "quantile": str(quantile)}, value)
+    metric.add_sample(metric.name + "_count", labels, series.count)
+    metric.add_sample(metric.name + "_sum", labels, series.total)
+
+
+class Metrics:
+    """The metrics of a process.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of monotonic time for the windows of histograms.
+
+    Examples
+    --------
+    >>> from pomelothread.clock import SystemClock
+    >>> metrics = Metrics(SystemClock())
+    >>> requests = metrics.counter("requests_total", "Requests.", "tier")
+    >>> requests.labels("check").add()
+    >>> print(metrics.render().decode().splitlines()[2])
+    pomelothread_requests_total{tier="check"} 1.0
+    """
+
+    __slots__ = ("_clock", "_exposed", "_registry")
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._exposed: dict[str, _Exposed] = {}
+        self._registry = CollectorRegistry(auto_describe=False)
+        self._registry.register(self)
+        ProcessCollector(registry=self._registry)
+
+    def counter(self, name: str, help_text: str, *label_names: str) -> Family[Counter]:
+        """Add a counter; its name ends in ``_total``."""
+        if not name.endswith("_total"):
+            raise ValueError(f"name={name!r}, expected a final _total; append it")
+        return self._add("counter", Family(name, help_text, label_names, Counter))
+
+    def gauge(self, name: str, help_text: str, *label_names: str) -> Family[Gauge]:
+        """Add a gauge."""
+        return self._add("gauge", Family(name, help_text, label_names, Gauge))
+
+    def histogram(
+        self,
+        name: str,
+        help_text: str,
+        *label_names: str,
+        resolution: float = 1e-6,
+        maximum: float = 3600.0,
+    ) -> Family[Histogram]:
+        """Add a histogram; by default of seconds, from 1 us to an hour."""
+
+        def make() -> Histogram:
+            return Histogram(self._clock, resolution, maximum)
+
+        return self._add("summary", Family(name, help_text, label_names, make))
+
+    def collect(self) -> Iterator[Metric]:
+        """Return all families for prometheus_client."""
+        return (exposed.metric() for exposed in self._exposed.values())
+
+    def render(self) -> bytes:
+        """Return the text exposition of all metrics."""
+        return generate_latest(self._registry)
+
+    def _add(self, kind: str, family: Family[S]) -> Family[S]:
+        if family.name in self._exposed:
+            raise ValueError(f"name={family.name!r} is taken; choose another name")
+        self._exposed[family.name] = _Exposed(kind, family)
+        if not family.label_names:
+            # A series without labels is shown before its first update.
+            family.labels()
+        return family
--- /dev/null
+++ b/tests/test_tracing.py
@@ -0,0 +1,74 @@
+"""Spans of all hops join one trace, and tracing that is off costs nothing."""
+
+import json
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from opentelemetry.trace import get_current_span
+
+from pomelothread.settings import TracingSettings
+from pomelothread.tracing import extract_context, inject_context, setup_tracing
+
+SRC = Path(__file__).parent.parent / "src"
+SAMPLED = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
+UNSAMPLED = SAMPLED[:-2] + "00"
+
+
+def test_without_a_destination_the_sdk_is_not_imported():
+    # The SDK and the exporter take 6 MiB, a fifth of a node's memory for control.
+    code = (
+        "import sys; from pomelothread.settings import TracingSettings as T; "
+        "from pomelothread.tracing import setup_tracing; "
+        "setup_tracing(T(), 'entry', 'e1'); "
+        "sys.exit(any(m.startswith(('opentelemetry.sdk', 'opentelemetry.exporter')) "
+        "for m in sys.modules))"
+    )
+    done = subprocess.run(
+        [sys.executable, "-c", code],
+        env=os.environ | {"PYTHONPATH": str(SRC)},
+        check=False,
+        capture_output=True,
+    )
+    assert (done.returncode, done.stderr) == (0, b"")
+
+
+@pytest.mark.parametrize("name", ["traceparent", "Traceparent", "TRACEPARENT"])
+@pytest.mark.parametrize("parent", [SAMPLED, UNSAMPLED])
+def test_a_traceparent_is_passed_on_when_tracing_is_off(name, parent):
+    tracer = setup_tracing(TracingSettings(), "entry", "e1")
+    headers = {}
+    context = extract_context({name: parent, "Tracestate": "v=1"})
+    inject_context(tracer.start_span("hop", context=context), headers)
+    assert headers == {"traceparent": parent, "tracestate": "v=1"}
+
+
+@pytest.mark.parametrize("value", ["", "junk", SAMPLED.replace("0af7", "zzzz")])
+def test_a_malformed_traceparent_is_no_parent(value):
+    context = extract_context({"traceparent": value})
+    assert not get_current_span(context).get_span_context().is_valid
+
+
+@pytest.mark.parametrize(
+    ("sample_ratio", "parent", "n_spans"),
+    [(1.0, None, 1), (0.0, None, 0), (0.0, SAMPLED, 1), (1.0, UNSAMPLED, 0)],
+)
+def test_the_caller_s_decision_comes_before_the_ratio(
+    tmp_path, sample_ratio, parent, n_spans
+):
+    path = tmp_path / "spans.jsonl"
+    settings = TracingSettings(sample_ratio=sample_ratio, span_file=str(path))
+    tracer = setup_tracing(settings, "entry", "e1")
+    headers = {} if parent is None else {"traceparent": parent}
+    span = tracer.start_span("hop", context=extract_context(headers))
+    passed_on = {}
+    inject_context(span, passed_on)
+    span.end()
+    lines = path.read_text(encoding="utf-8").splitlines()
+    assert len(lines) == n_spans
+    for line in lines:
+        context = json.loads(line)["context"]
+        assert context["trace_id"].removeprefix("0x") in passed_on["traceparent"]
+        assert context["span_id"].removeprefix("0x") in passed_on["traceparent"]
