Add a stand-in model engine

Tests of the scheduler need an engine that they can slow, cut and crash, and that counts what it received.

--- /dev/null
+++ b/tools/standins/engine_admin.py
@@ -0,0 +1,115 @@
+"""Management commands of the stand-in engine, with fencing tokens.
+
+Adapters use vLLM's calls. Loading a model and changing the role have no common
+standard; they follow the same form.
+"""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from pomelothread.clock import Clock
+
+from .serving import Faults, JsonHandler
+
+FENCING_HEADER = "X-Fencing-Token"
+
+
+@dataclass(slots=True)
+class AdminState:
+    """What the management commands have set.
+
+    Parameters
+    ----------
+    models : list of str
+        Models and adapters that can be requested.
+    enforces_fencing : bool
+        Whether a command with an older token than the newest is rejected.
+    load_s : float
+        Duration of a load.
+    """
+
+    models: list[str]
+    enforces_fencing: bool = True
+    load_s: float = 0.05
+    role: str = "both"
+    newest_token: int = -1
+    n_running: int = 0
+    n_running_max: int = 0
+    commands: list[dict[str, str]] = field(default_factory=list)
+
+
+class AdminHandler(JsonHandler):
+    """One command: ``load_lora_adapter`` and the like."""
+
+    def initialize(
+        self, command: str, admin: AdminState, faults: Faults, clock: Clock
+    ) -> None:
+        """Keep what the command works on."""
+        self.command = command
+        self.admin = admin
+        self.faults = faults
+        self.clock = clock
+
+    async def post(self) -> None:
+        """Carry the command out, or reject its token."""
+        body = self.json_body()
+        if not isinstance(body, dict):
+            self.send_error_text(400, "the body is not a JSON object")
+            return
+        token = self.request.headers.get(FENCING_HEADER, "")
+        if self._is_fenced_off(token):
+            self.send_error_text(
+                409, f"token {token!r} is older than {self.admin.newest_token}"
+            )
+            return
+        if self.faults.hang:
+            await asyncio.get_running_loop().create_future()
+        self.admin.commands.append({"command": self.command, "token": token} | body)
+        self.admin.n_running += 1
+        self.admin.n_running_max = max(self.admin.n_running_max, self.admin.n_running)
+        try:
+            await self.clock.sleep(self.admin.load_s * self.faults.slow_factor)
+        finally:
+            self.admin.n_running -= 1
+        status, text = self._carry_out(body)
+        if self.faults.close_after_effect:
+            self.drop_connection()
+            return
+        if status != 200:
+            self.send_error_text(status, text)
+            return
+        self.finish(text)
+
+    def _is_fenced_off(self, token: str) -> bool:
+        if not self.admin.enforces_fencing:
+            return False
+        number = int(token) if token.isdecimal() else -1
+        if number < self.admin.newest_token:
+            return True
+        self.admin.newest_token = number
+        return False
+
+    def _carry_out(self, body: dict[str, str]) -> tuple[int, str]:
+        match self.command:
+            case "load_lora_adapter":
+                name = body.get("lora_name", "")
+                if not name or not body.get("lora_path"):
+                    return 400, "Both 'lora_name' and 'lora_path' must be provided."
+                return self._load(name, "LoRA adapter")
+            case "unload_lora_adapter":
+                name = body.get("lora_name", "")
+                if name not in self.admin.models:
+                    return 404, f"The lora adapter '{name}' cannot be found."
+                self.admin.models.remove(name)
+                return 200, f"Success: LoRA adapter '{name}' removed successfully."
+            case "load_model":
+                return self._load(body.get("model", ""), "Model")
+            case _:
+                self.admin.role = body.get("role", "")
+                return 200, f"Success: role '{self.admin.role}' set."
+
+    def _load(self, name: str, kind: str) -> tuple[int, str]:
+        if name in self.admin.models:
+            return 400, f"The {kind} '{name}' has already been loaded."
+        self.admin.models.append(name)
+        return 200, f"Success: {kind} '{name}' added successfully."
--- /dev/null
+++ b/tools/standins/serving.py
@@ -0,0 +1,261 @@
+"""What all stand-in services share: fault switches, counts, and listening."""
+
+import asyncio
+import json
+import sys
+from collections import Counter
+from collections.abc import Awaitable, Sequence
+from dataclasses import asdict, dataclass, field, fields
+from typing import Any
+
+import msgspec
+from absl import flags
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application, RequestHandler
+
+REQUEST_ID_HEADER = "X-Request-Id"
+
+
+@dataclass(slots=True)
+class Faults:
+    """Faults that can be switched at run time by ``POST /_faults``.
+
+    Parameters
+    ----------
+    slow_factor : float
+        Multiplies every duration.
+    stall_after_tokens : int or None
+        A stream stops after this many tokens, with the connection open.
+    close_before_answer : bool
+        The connection closes without a response, and nothing runs.
+    close_after_effect : bool
+        The request runs, then the connection closes without a response.
+    cut_after_chunks : int or None
+        The connection closes after this many chunks of the response.
+    duplicate_chunks : bool
+        Every chunk is sent twice.
+    crash_on_text : str
+        The process exits when a request that contains this text starts to run.
+    unhealthy : bool
+        ``/health`` answers 503.
+    hang : bool
+        Requests are accepted and never answered.
+    metrics_lag_s : float
+        Age of the load report.
+    metrics_malformed : bool
+        The load report is not Prometheus text.
+    event_lag_s : float
+        Delay before a cache event batch is published.
+    n_events_dropped : int
+        How many of the next cache event batches are lost.
+    times : int or None
+        Faults that end or hold a request apply to this many requests; None for
+        all of them.
+    """
+
+    slow_factor: float = 1.0
+    stall_after_tokens: int | None = None
+    close_before_answer: bool = False
+    close_after_effect: bool = False
+    cut_after_chunks: int | None = None
+    duplicate_chunks: bool = False
+    crash_on_text: str = ""
+    unhealthy: bool = False
+    hang: bool = False
+    metrics_lag_s: float = 0.0
+    metrics_malformed: bool = False
+    event_lag_s: float = 0.0
+    n_events_dropped: int = 0
+    times: int | None = None
+
+    def change(self, values: dict[str, Any]) -> None:
+        """Set some switches; an unknown name is a ValueError."""
+        known = {switch.name for switch in fields(self)}
+        unknown = sorted(set(values) - known)
+        if unknown:
+            raise ValueError(f"unknown faults {unknown}; known are {sorted(known)}")
+        # A limit from an earlier change must not apply to these faults.
+        for name, value in ({"times": None} | values).items():
+            setattr(self, name, value)
+
+    def for_request(self) -> "Faults":
+        """Return the faults of one new request, and count it against `times`."""
+        if self.times is None:
+            return self
+        if self.times == 0:
+            return Faults(slow_factor=self.slow_factor)
+        self.times -= 1
+        return Faults(**(asdict(self) | {"times": None}))
+
+
+@dataclass(slots=True)
+class Counts:
+    """What the receiver saw, for tests that count there."""
+
+    received: Counter[str] = field(default_factory=Counter)
+    n_received: int = 0
+    n_running: int = 0
+    n_running_max: int = 0
+    n_completed: int = 0
+    n_cancelled: int = 0
+    cancelled_ids: list[str] = field(default_factory=list)
+
+    def start(self, request_id: str) -> None:
+        """Count a request that has arrived."""
+        self.n_received += 1
+        self.received[request_id] += 1
+        self.n_running += 1
+        self.n_running_max = max(self.n_running_max, self.n_running)
+
+    def end(self, request_id: str, cancelled: bool) -> None:
+        """Count the end of a request that was started."""
+        self.n_running -= 1
+        if not cancelled:
+            self.n_completed += 1
+            return
+        self.n_cancelled += 1
+        self.cancelled_ids.append(request_id)
+
+    def report(self) -> dict[str, Any]:
+        """Return the counts for ``/_state``."""
+        return {
+            "n_received": self.n_received,
+            "n_running": self.n_running,
+            "n_running_max": self.n_running_max,
+            "n_completed": self.n_completed,
+            "n_cancelled": self.n_cancelled,
+            "cancelled_ids": self.cancelled_ids,
+            "received": dict(self.received),
+            "duplicates": {
+                request_id: count
+                for request_id, count in self.received.items()
+                if count > 1 and request_id
+            },
+        }
+
+
+class JsonHandler(RequestHandler):
+    """Request handler with JSON bodies, without Tornado's HTML error pages."""
+
+    def send_json(self, value: Any, status: int = 200) -> None:
+        """Answer with a JSON body."""
+        self.set_status(status)
+        self.set_header("Content-Type", "application/json")
+        self.finish(msgspec.json.encode(value))
+
+    def send_error_text(self, status: int, text: str) -> None:
+        """Answer with an error body in the form of OpenAI's API."""
+        self.send_json({"error": {"message": text, "code": status}}, status)
+
+    def json_body(self) -> Any:
+        """Return the decoded body, or None if it is malformed."""
+        try:
+            return msgspec.json.decode(self.request.body)
+        except msgspec.DecodeError:
+            return None
+
+    def drop_connection(self) -> None:
+        """Close the connection without any further byte."""
+        if not self._finished:
+            self.detach().close()
+
+
+class CountedHandler(JsonHandler):
+    """Handler of the requests that are counted and that faults apply to."""
+
+    def initialize(self, counts: Counts, faults: Faults) -> None:
+        """Keep the shared counts and take the faults of this request."""
+        self.counts = counts
+        self.request_id = self.request.headers.get(REQUEST_ID_HEADER, "")
+        self.faults = faults
+        self.closed: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+
+    def prepare(self) -> None:
+        """Count the request."""
+        self.faults = self.faults.for_request()
+        self.counts.start(self.request_id)
+
+    def on_connection_close(self) -> None:
+        """Tell the running request that its caller has gone."""
+        if not self.closed.done():
+            self.closed.set_result(None)
+
+    def drop_connection(self) -> None:
+        """Close the connection; the running request ends as cancelled."""
+        super().drop_connection()
+        self.on_connection_close()
+
+    async def unless_closed(self, work: Awaitable[Any]) -> bool:
+        """Await `work`; return False if the caller's connection closed first."""
+        task = asyncio.ensure_future(work)
+        await asyncio.wait((task, self.closed), return_when=asyncio.FIRST_COMPLETED)
+        if task.done():
+            task.result()
+            return True
+        task.cancel()
+        return False
+
+
+class FaultsHandler(JsonHandler):
+    """``/_faults``: POST changes switches, DELETE resets them."""
+
+    def initialize(self, faults: Faults) -> None:
+        """Keep the switches."""
+        self.faults = faults
+
+    def get(self) -> None:
+        """Show the switches."""
+        self.send_json(asdict(self.faults))
+
+    def post(self) -> None:
+        """Change some switches."""
+        try:
+            self.faults.change(self.json_body() or {})
+        except ValueError as error:
+            self.send_error_text(400, str(error))
+            return
+        self.send_json(asdict(self.faults))
+
+    def delete(self) -> None:
+        """Reset every switch."""
+        self.faults.change(asdict(Faults()))
+        self.send_json(asdict(self.faults))
+
+
+def listen(application: Application, port: int) -> tuple[HTTPServer, str]:
+    """Serve on the loopback address.
+
+    Parameters
+    ----------
+    application : tornado.web.Application
+        What to serve.
+    port : int
+        Port, or 0 for any free one.
+
+    Returns
+    -------
+    tuple of (tornado.httpserver.HTTPServer, str)
+        The server and its ``ip:port``.
+    """
+    sockets = bind_sockets(port, "127.0.0.1")
+    # Tornado's default of 100 MiB would hide a body that grew by mistake.
+    server = HTTPServer(application, max_body_size=16 * 1024 * 1024)
+    server.add_sockets(sockets)
+    host, bound_port = sockets[0].getsockname()[:2]
+    return server, f"{host}:{bound_port}"
+
+
+def announce(**values: Any) -> None:
+    """Print the line that tells the parent process where this one listens."""
+    sys.stdout.write(json.dumps(values) + "\n")
+    sys.stdout.flush()
+
+
+def parse_flags(values: flags.FlagValues, argv: Sequence[str]) -> None:
+    """Parse the command line; a wrong one ends the process with status 2."""
+    try:
+        values(list(argv))
+    except flags.Error as error:
+        sys.stderr.write(f"{error}\n")
+        sys.exit(2)
