Reset one-shot faults of the stand-ins after their last request

A fault limited by 'times' stayed switched on and applied again as soon as another fault was set; a trial of crash_on_text after close_before_answer closed the connection instead of exiting. The limit now resets them.

--- a/tools/standins/serving.py
+++ b/tools/standins/serving.py
@@ -16,6 +16,17 @@
 
 REQUEST_ID_HEADER = "X-Request-Id"
 
+# Faults that end or hold one request; `times` limits these.
+REQUEST_FAULTS = (
+    "stall_after_tokens",
+    "close_before_answer",
+    "close_after_effect",
+    "cut_after_chunks",
+    "duplicate_chunks",
+    "hang",
+    "times",
+)
+
 
 @dataclass(slots=True)
 class Faults:
@@ -50,8 +61,8 @@
     n_events_dropped : int
         How many of the next cache event batches are lost.
     times : int or None
-        Faults that end or hold a request apply to this many requests; None for
-        all of them.
+        `REQUEST_FAULTS` apply to this many requests and are then reset; None
+        for all requests.
     """
 
     slow_factor: float = 1.0
@@ -75,18 +86,18 @@
         unknown = sorted(set(values) - known)
         if unknown:
             raise ValueError(f"unknown faults {unknown}; known are {sorted(known)}")
-        # A limit from an earlier change must not apply to these faults.
-        for name, value in ({"times": None} | values).items():
+        for name, value in values.items():
             setattr(self, name, value)
 
     def for_request(self) -> "Faults":
         """Return the faults of one new request, and count it against `times`."""
         if self.times is None:
             return self
-        if self.times == 0:
-            return Faults(slow_factor=self.slow_factor)
+        current = Faults(**(asdict(self) | {"times": None}))
         self.times -= 1
-        return Faults(**(asdict(self) | {"times": None}))
+        if self.times <= 0:
+            self.change({name: getattr(Faults(), name) for name in REQUEST_FAULTS})
+        return current
 
 
 @dataclass(slots=True)
