--- /dev/null
+++ b/src/pomelothread/operators/deltas.py
@@ -0,0 +1,144 @@
+"""What changed between two sheets, and applying it."""
+
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+from .digests import (
+    COLLECTIONS,
+    NAME_FIELD_BY_COLLECTION,
+    DigestTree,
+    SheetRow,
+    row_digest,
+)
+from .sheet import Organisation, Release, Service, Sheet, Tier
+
+
+class RowsPut(msgspec.Struct, frozen=True):
+    """Rows that are new or replace the row of the same name."""
+
+    tiers: tuple[Tier, ...] = ()
+    organisations: tuple[Organisation, ...] = ()
+    services: tuple[Service, ...] = ()
+    releases: tuple[Release, ...] = ()
+
+
+class RowsRemoved(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Names of rows that are no longer in the sheet."""
+
+    tiers: tuple[str, ...] = ()
+    organisations: tuple[str, ...] = ()
+    services: tuple[str, ...] = ()
+    releases: tuple[str, ...] = ()
+
+
+class SheetDelta(msgspec.Struct, frozen=True):
+    """Rows put and rows removed."""
+
+    put: RowsPut = RowsPut()
+    removed: RowsRemoved = RowsRemoved()
+
+    def n_changes(self) -> int:
+        """Count the rows put and removed."""
+        return sum(
+            len(getattr(self.put, c)) + len(getattr(self.removed, c))
+            for c in COLLECTIONS
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class DigestedSheet:
+    """A sheet with the digest tree of its rows."""
+
+    sheet: Sheet
+    tree: DigestTree
+
+
+def make_delta(base: Sheet, new: Sheet) -> SheetDelta:
+    """Find the rows that differ.
+
+    Parameters
+    ----------
+    base : Sheet
+        The sheet to start from.
+    new : Sheet
+        The sheet to arrive at.
+
+    Returns
+    -------
+    SheetDelta
+        Sorted by name within each collection.
+
+    Examples
+    --------
+    >>> base = Sheet(tiers={"a": Tier("a", 0), "b": Tier("b", 1)})
+    >>> delta = make_delta(base, Sheet(tiers={"a": Tier("a", 2)}))
+    >>> delta.put.tiers, delta.removed.tiers
+    ((Tier(name='a', rank=2, protected=False),), ('b',))
+    """
+    put: dict[str, tuple[SheetRow, ...]] = {}
+    removed: dict[str, tuple[str, ...]] = {}
+    for collection in COLLECTIONS:
+        before: dict[str, Any] = getattr(base, collection)
+        after: dict[str, Any] = getattr(new, collection)
+        changed = sorted(n for n, row in after.items() if before.get(n) != row)
+        put[collection] = tuple(after[n] for n in changed)
+        removed[collection] = tuple(sorted(before.keys() - after.keys()))
+    return SheetDelta(
+        msgspec.convert(put, RowsPut), msgspec.convert(removed, RowsRemoved)
+    )
+
+
+def apply_delta(base: DigestedSheet, delta: SheetDelta, version: int) -> DigestedSheet:
+    """Apply a delta to a sheet.
+
+    Parameters
+    ----------
+    base : DigestedSheet
+        The sheet to start from; not modified.
+    delta : SheetDelta
+        Rows to put and to remove; removing an absent row has no effect.
+    version : int
+        Version of the result.
+
+    Returns
+    -------
+    DigestedSheet
+        The new sheet, with its digest. Collections without changes are shared
+        with `base`, others are copied, so a reader of `base` is not disturbed.
+    """
+    removed_digests: list[bytes] = []
+    added_digests: list[bytes] = []
+    collections: dict[str, dict[str, SheetRow]] = {}
+    for collection in COLLECTIONS:
+        rows: dict[str, SheetRow] = getattr(base.sheet, collection)
+        put: tuple[SheetRow, ...] = getattr(delta.put, collection)
+        removed: tuple[str, ...] = getattr(delta.removed, collection)
+        collections[collection] = rows
+        if not put and not removed:
+            continue
+        changed = dict(rows)
+        name_field = NAME_FIELD_BY_COLLECTION[collection]
+        # A name that is put twice counts once, with its last row.
+        new_rows = {getattr(row, name_field): row for row in put}
+        for name in {*removed, *new_rows}:
+            if (old := changed.pop(name, None)) is not None:
+                removed_digests.append(row_digest(collection, old))
+        for name, row in new_rows.items():
+            changed[name] = row
+            added_digests.append(row_digest(collection, row))
+        collections[collection] = changed
+    tree = base.tree.updated(removed_digests, added_digests)
+    sheet = msgspec.structs.replace(
+        base.sheet, version=version, digest=tree.hexadecimal(), **collections
+    )
+    return DigestedSheet(sheet, tree)
+
+
+def with_digest(sheet: Sheet) -> DigestedSheet:
+    """Compute the digest of a sheet that has just been read."""
+    tree = DigestTree.of(sheet)
+    return DigestedSheet(
+        msgspec.structs.replace(sheet, digest=tree.hexadecimal()), tree
+    )
