--- /dev/null
+++ b/src/pomelothread/agent/crash_reports.py
@@ -0,0 +1,105 @@
+"""Finding out whether the upstream died, and telling the fleet what it ran."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from returns.result import Success
+
+from ..clock import Clock
+from ..log.records import LogClient, LogRecord
+from ..policy.crashes import CRASH_TOPIC, CrashBook
+
+# A process that died refuses connections at once; one that only closed a
+# connection accepts new ones. The looks cover a port that is still closing.
+N_PROBES = 5
+PROBE_PERIOD_S = 0.1
+MIN_APPEND_DELAY_S = 0.5
+MAX_APPEND_DELAY_S = 30.0
+
+
+class CrashReports:
+    """Records the crashes of one upstream on the log.
+
+    Parameters
+    ----------
+    crashes : CrashBook
+        Suspects and convicted requests.
+    log : LogClient
+        The platform's log.
+    clock : Clock
+        Source of time.
+    is_dead : callable
+        Returns whether the upstream refuses connections now.
+    """
+
+    __slots__ = ("_clock", "_crashes", "_is_dead", "_log", "_pending", "_tasks")
+
+    def __init__(
+        self,
+        crashes: CrashBook,
+        log: LogClient,
+        clock: Clock,
+        is_dead: Callable[[], Awaitable[bool]],
+    ) -> None:
+        self._crashes = crashes
+        self._log = log
+        self._clock = clock
+        self._is_dead = is_dead
+        self._pending: list[str] | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def connection_cut(self, running: list[str]) -> None:
+        """Take in that the upstream closed a connection early.
+
+        Parameters
+        ----------
+        running : list of str
+            Fingerprints of all requests that were running. Only the first cut
+            of a crash sees all of them, so later ones are ignored while the
+            upstream is being probed.
+        """
+        if self._pending is not None:
+            return
+        self._pending = list(running)
+        self._keep(self._probe())
+
+    def append(self, record: dict[str, Any]) -> None:
+        """Append a record in the background until it is on the log."""
+        self._keep(self._append(record))
+
+    def fold(self, record: LogRecord) -> None:
+        """Take in a record of any agent."""
+        self._crashes.fold(record.value)
+
+    def _keep(self, coroutine: Any) -> None:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _probe(self) -> None:
+        try:
+            for _ in range(N_PROBES):
+                if await self._is_dead():
+                    self._report()
+                    return
+                await self._clock.sleep(PROBE_PERIOD_S)
+        finally:
+            self._pending = None
+
+    def _report(self) -> None:
+        assert self._pending is not None
+        now_s = self._clock.monotonic_s()
+        verdict = self._crashes.engine_died(self._pending, now_s)
+        if verdict.record is not None:
+            self.append(verdict.record)
+
+    async def _append(self, record: dict[str, Any]) -> None:
+        # Records are folded idempotently, so a repeated append does no harm.
+        delay_s = MIN_APPEND_DELAY_S
+        while True:
+            result = await self._log.append(CRASH_TOPIC, record)
+            if isinstance(result, Success):
+                return
+            await self._clock.sleep(delay_s)
+            delay_s = min(MAX_APPEND_DELAY_S, 2 * delay_s)
--- /dev/null
+++ b/src/pomelothread/agent/dispatcher.py
@@ -0,0 +1,424 @@
+"""The only place from which an upstream is sent requests."""
+
+import asyncio
+import logging
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Protocol
+
+from opentelemetry.trace import SpanKind, Tracer
+
+from ..clock import Clock
+from ..events import Event, log_event
+from ..log.claim_results import ClaimToken
+from ..operators.sheet import REPEAT_NEVER, Service, Sheet
+from ..outcomes import NotKnown, NotRun, Reason, Run
+from ..peers.dispatch import (
+    GRANT_INVALID,
+    MUST_RUN_ALONE,
+    SHEET_BEHIND,
+    UPSTREAM_DOWN,
+    Dispatch,
+    body_fingerprint,
+)
+from ..peers.headers import end_to_end_headers
+from ..peers.http_exchange import (
+    Cancelled,
+    Complete,
+    Exchange,
+    ExchangeClient,
+    LostBeforeHead,
+    NotConnected,
+    ResponseHead,
+)
+from ..peers.messages import Offer
+from ..policy.crashes import CrashBook
+from ..tracing import extract_context, inject_context
+from .grants import Grants, Place, Reply
+from .orders import Orders
+from .rates import Rates
+
+_logger = logging.getLogger(__name__)
+
+MAX_WHOLE_RESPONSE_BYTES = 64 * 1024 * 1024
+EVENT_STREAM = "text/event-stream"
+RETRY_AFTER_S = 2.0
+
+
+class DispatchSink(Protocol):
+    """Where the answer to an entry's POST goes."""
+
+    def start(self, status: int, headers: list[tuple[str, str]]) -> None:
+        """Send the head of the upstream's response."""
+        ...
+
+    async def write(self, chunk: bytes) -> None:
+        """Send part of the body."""
+        ...
+
+    def finish(self) -> None:
+        """End the response; everything was sent."""
+        ...
+
+    def abort(self) -> None:
+        """Close without a proper end."""
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class NotDispatched:
+    """Nothing was sent to the upstream, and this POST never will be.
+
+    Parameters
+    ----------
+    reason : str
+        One of the constants of `pomelothread.peers.dispatch`.
+    """
+
+    reason: str
+
+
+# None means that the sink has been given a response.
+DispatchOutcome = Run | NotRun | NotKnown | NotDispatched | None
+
+
+@dataclass(slots=True)
+class RunningRequest:
+    """A request at the upstream.
+
+    Parameters
+    ----------
+    place : Place
+        What it holds until it has ended.
+    dispatch : Dispatch
+        What the entry asked for.
+    fingerprint : str
+        Identifies its content.
+    ran_alone : bool
+        Whether no other request ran at any time while it did.
+    exchange : Exchange or None
+        With the upstream, once it is open.
+    entry_left : bool
+        Whether the entry closed its connection.
+    """
+
+    place: Place
+    dispatch: Dispatch
+    fingerprint: str
+    ran_alone: bool
+    exchange: Exchange | None = None
+    entry_left: bool = False
+
+    @property
+    def offer(self) -> Offer:
+        """The offer that the place was granted for."""
+        return self.place.offer
+
+
+class Dispatcher:
+    """Sends requests to the upstream, each at most once.
+
+    Parameters
+    ----------
+    grants : Grants
+        Decides which request may be dispatched.
+    orders : Orders
+        Claims the keys of orders.
+    crashes : CrashBook
+        Which requests crash upstreams.
+    client : ExchangeClient
+        Towards the upstream.
+    upstream_url : str
+        Base URL of the upstream.
+    clock : Clock
+        Source of monotonic time.
+    tracer : Tracer
+        For the spans of this hop.
+    rates : Rates
+        Takes in how fast the upstream is.
+    send_replies : callable
+        Sends the control messages that follow from a freed place.
+    on_cut : callable
+        Called with the fingerprints that were running when the upstream closed
+        a connection early, so that it can be found out whether it died.
+    """
+
+    def __init__(
+        self,
+        grants: Grants,
+        orders: Orders,
+        crashes: CrashBook,
+        client: ExchangeClient,
+        upstream_url: str,
+        clock: Clock,
+        tracer: Tracer,
+        rates: Rates,
+        send_replies: Callable[[list[Reply]], None],
+        on_cut: Callable[[list[str]], None],
+    ) -> None:
+        self._grants = grants
+        self._orders = orders
+        self._crashes = crashes
+        self._client = client
+        self._url = upstream_url.rstrip("/")
+        self._clock = clock
+        self._tracer = tracer
+        self._rates = rates
+        self._send_replies = send_replies
+        self._on_cut = on_cut
+        self._running: dict[int, RunningRequest] = {}
+        self._n_streaming = 0
+        self.sheet = Sheet()
+        self.n_dispatched = 0
+
+    @property
+    def n_streaming(self) -> int:
+        """Streams that have sent their first chunk and have not ended."""
+        return self._n_streaming
+
+    async def dispatch(
+        self,
+        dispatch: Dispatch,
+        headers: Mapping[str, str],
+        body: bytes,
+        sink: DispatchSink,
+        on_running: Callable[[RunningRequest], None],
+    ) -> DispatchOutcome:
+        """Use up a grant and run the request at the upstream.
+
+        Parameters
+        ----------
+        dispatch : Dispatch
+            What the entry asked for.
+        headers : mapping of str to str
+            The entry's headers, for ``traceparent``.
+        body : bytes
+            For the upstream.
+        sink : DispatchSink
+            Gets the response, if there is one.
+        on_running : callable
+            Called before the first byte is sent to the upstream.
+
+        Returns
+        -------
+        Run, NotRun, NotKnown, NotDispatched or None
+            None if the sink has been given a response.
+        """
+        place = self._grants.take(
+            dispatch.grant, dispatch.agent_incarnation, dispatch.request_id
+        )
+        if place is None:
+            log_event(
+                _logger,
+                Event.DISPATCH_REFUSED,
+                request_id=dispatch.request_id,
+                grant=dispatch.grant,
+                cause="unknown, used or expired",
+            )
+            return NotDispatched(GRANT_INVALID)
+        with self._tracer.start_as_current_span(
+            "agent.dispatch",
+            context=extract_context(headers),
+            kind=SpanKind.SERVER,
+            attributes={"pomelothread.service": dispatch.service},
+        ):
+            fingerprint = body_fingerprint(dispatch.service, dispatch.path, body)
+            running = RunningRequest(place, dispatch, fingerprint, not self._running)
+            for other in self._running.values():
+                other.ran_alone = False
+            self._running[place.grant] = running
+            on_running(running)
+            try:
+                return await self._dispatch(running, body, sink)
+            finally:
+                del self._running[place.grant]
+                self._send_replies(self._grants.release(place))
+
+    def entry_left(self, running: RunningRequest) -> None:
+        """Cancel a request whose entry closed its connection.
+
+        Orders run to their end: their result is recorded under their key.
+        """
+        running.entry_left = True
+        service = self.sheet.services.get(running.dispatch.service)
+        if service is not None and self._is_order(running.dispatch, service):
+            return
+        if running.exchange is not None:
+            running.exchange.cancel()
+
+    async def _dispatch(
+        self, running: RunningRequest, body: bytes, sink: DispatchSink
+    ) -> DispatchOutcome:
+        dispatch = running.dispatch
+        service = self.sheet.services.get(dispatch.service)
+        if service is None:
+            return NotDispatched(SHEET_BEHIND)
+        if self._crashes.is_convicted(running.fingerprint):
+            detail = "An identical request has crashed upstreams; it did not run."
+            return NotRun(Reason.CONVICTED, detail)
+        alone = self._crashes.must_run_alone(running.fingerprint)
+        if alone and not running.offer.solo:
+            return NotDispatched(MUST_RUN_ALONE)
+        if not self._is_order(dispatch, service):
+            return await self._run(running, body, sink, None)
+        claim = await self._orders.claim(dispatch, service, body)
+        if not isinstance(claim, ClaimToken):
+            return claim
+        return await self._run_order(running, service, body, sink, claim)
+
+    async def _run_order(
+        self,
+        running: RunningRequest,
+        service: Service,
+        body: bytes,
+        sink: DispatchSink,
+        token: ClaimToken,
+    ) -> DispatchOutcome:
+        outcome = await self._run(running, body, sink, token)
+        match outcome:
+            case Run(status=status, headers=headers, body=response):
+                await self._orders.finish(token, status, headers, response)
+                return outcome
+            case NotDispatched():
+                # Nothing was sent, so the key is free for the caller's retry.
+                await self._orders.abandon(token)
+                return NotRun(Reason.NO_UPSTREAM, "", RETRY_AFTER_S)
+            case _:
+                self._orders.resolve_later(running.dispatch, service, token)
+                url = self._orders.status_url(running.dispatch)
+                return NotKnown(Reason.ANSWER_LOST, "The order may have run.", url)
+
+    async def _run(
+        self,
+        running: RunningRequest,
+        body: bytes,
+        sink: DispatchSink,
+        token: ClaimToken | None,
+    ) -> DispatchOutcome:
+        """Send the request; the decision to do so is final from here on."""
+        dispatch = running.dispatch
+        headers = {"X-Request-Id": dispatch.request_id}
+        if dispatch.content_type:
+            headers["Content-Type"] = dispatch.content_type
+        if dispatch.key:
+            headers["Idempotency-Key"] = dispatch.key
+        started_at_s = self._clock.monotonic_s()
+        with self._tracer.start_as_current_span(
+            "agent.upstream", kind=SpanKind.CLIENT
+        ) as span:
+            inject_context(span, headers)
+            self.n_dispatched += 1
+            exchange = self._client.open_exchange(
+                dispatch.method, self._url + dispatch.path, headers, body
+            )
+            running.exchange = exchange
+            if running.entry_left and token is None:
+                exchange.cancel()
+            outcome = await self._relay(running, exchange, sink, token, started_at_s)
+        elapsed_s = self._clock.monotonic_s() - started_at_s
+        if isinstance(exchange.end, Complete):
+            self._rates.finished(elapsed_s)
+            self._grants.limit.observe_response_time(elapsed_s)
+            self._note_finished(running)
+        return outcome
+
+    async def _relay(
+        self,
+        running: RunningRequest,
+        exchange: Exchange,
+        sink: DispatchSink,
+        token: ClaimToken | None,
+        started_at_s: float,
+    ) -> DispatchOutcome:
+        head = await exchange.head()
+        match head:
+            case ResponseHead():
+                pass
+            case NotConnected() | Cancelled(was_sent=False):
+                return NotDispatched(UPSTREAM_DOWN)
+            case LostBeforeHead():
+                self._cut(running)
+                return NotKnown(Reason.ANSWER_LOST, "The upstream's answer was lost.")
+            case _:
+                return NotKnown(Reason.ANSWER_LOST, "The request was cancelled.")
+        headers = end_to_end_headers(head.headers.get_all())
+        content_type = head.headers.get("Content-Type", "")
+        if token is None and content_type.startswith(EVENT_STREAM):
+            sink.start(head.status, headers)
+            await self._stream(running, exchange, sink, started_at_s)
+            return None
+        body = await exchange.read_whole(MAX_WHOLE_RESPONSE_BYTES)
+        if isinstance(body, bytes):
+            now_s = self._clock.monotonic_s()
+            self._grants.limit.observe_success(len(self._running), now_s)
+            return Run(head.status, tuple(headers), body)
+        if not isinstance(body, Cancelled):
+            self._cut(running)
+        return NotKnown(Reason.ANSWER_LOST, "The upstream's answer was cut.")
+
+    async def _stream(
+        self,
+        running: RunningRequest,
+        exchange: Exchange,
+        sink: DispatchSink,
+        started_at_s: float,
+    ) -> None:
+        """Pass server-sent events on as they come, and watch their pace."""
+        limit = self._grants.limit
+        last_at_s: float | None = None
+        try:
+            async for chunk in exchange:
+                now_s = self._clock.monotonic_s()
+                if last_at_s is None:
+                    self._n_streaming += 1
+                    self._rates.first_token(
+                        running.offer.n_input_tokens, now_s - started_at_s
+                    )
+                else:
+                    n_tokens = max(1, chunk.count(b"data:"))
+                    gap_s = (now_s - last_at_s) / n_tokens
+                    limit.observe_token_gap(gap_s, self._n_streaming, now_s)
+                last_at_s = now_s
+                await sink.write(chunk)
+        finally:
+            if last_at_s is not None:
+                self._n_streaming -= 1
+        match exchange.end:
+            case Complete(is_delimited=True):
+                sink.finish()
+            case Cancelled():
+                sink.abort()
+            case _:
+                self._cut(running)
+                sink.abort()
+
+    def _is_order(self, dispatch: Dispatch, service: Service) -> bool:
+        # Either sheet may be the newer one; an order too many is harmless.
+        return dispatch.never_repeated or service.repeat == REPEAT_NEVER
+
+    def _note_finished(self, running: RunningRequest) -> None:
+        record = self._crashes.finished(running.fingerprint, running.ran_alone)
+        if record is not None:
+            self._orders.append_crash_record(record)
+
+    def _cut(self, running: RunningRequest) -> None:
+        self._on_cut([other.fingerprint for other in self._running.values()])
+
+
+async def wait_until_idle(grants: Grants, clock: Clock, poll_s: float) -> None:
+    """Wait until nothing runs and no grant is open.
+
+    Parameters
+    ----------
+    grants : Grants
+        Must be closed, so that there are no new grants.
+    clock : Clock
+        For the delay between looks.
+    poll_s : float
+        Seconds between looks.
+    """
+    while grants.n_taken:
+        grants.expire()
+        await clock.sleep(poll_s)
+    # Let the last handlers write the end of their responses.
+    await asyncio.sleep(0)
--- /dev/null
+++ b/src/pomelothread/agent/http.py
@@ -0,0 +1,168 @@
+"""HTTP resources of an agent: dispatch, and questions about orders."""
+
+from dataclasses import dataclass
+
+import tornado.iostream
+import tornado.web
+
+from ..outcomes import NotKnown, NotRun, Reason, Run, problem_response
+from ..peers.dispatch import (
+    DISPATCH_PATH,
+    GRANT_INVALID,
+    NOT_DISPATCHED,
+    NOT_KNOWN,
+    NOT_RUN,
+    OUTCOME_HEADER,
+    REASON_HEADER,
+    RUN,
+    Dispatch,
+)
+from .dispatcher import Dispatcher, NotDispatched, RunningRequest
+from .orders import Orders
+
+
+@dataclass(slots=True)
+class _HandlerSink:
+    handler: "DispatchHandler"
+
+    def start(self, status: int, headers: list[tuple[str, str]]) -> None:
+        self.handler.start(RUN, "", status, headers)
+
+    async def write(self, chunk: bytes) -> None:
+        self.handler.write(chunk)
+        try:
+            await self.handler.flush()
+        except tornado.iostream.StreamClosedError:
+            return  # `on_connection_close` has cancelled the request.
+
+    def finish(self) -> None:
+        self.handler.finish()
+
+    def abort(self) -> None:
+        self.handler.abort()
+
+
+class _OutcomeHandler(tornado.web.RequestHandler):
+    """Base of the handlers that answer with an outcome."""
+
+    def start(
+        self, outcome: str, reason: str, status: int, headers: list[tuple[str, str]]
+    ) -> None:
+        """Set the head of the answer."""
+        self.set_status(status)
+        self.clear_header("Content-Type")
+        for name, value in headers:
+            self.add_header(name, value)
+        self.set_header(OUTCOME_HEADER, outcome)
+        if reason:
+            self.set_header(REASON_HEADER, reason)
+
+    def answer(self, outcome: Run | NotRun | NotKnown) -> None:
+        """Answer with a whole response or with problem details."""
+        match outcome:
+            case Run(status=status, headers=headers, body=body, replayed=replayed):
+                self.start(RUN, "", status, list(headers))
+                if replayed:
+                    self.set_header("Idempotent-Replayed", "true")
+                self.finish(body)
+            case NotRun(reason=reason) | NotKnown(reason=reason):
+                name = NOT_RUN if isinstance(outcome, NotRun) else NOT_KNOWN
+                problem = problem_response(outcome)
+                headers = list(problem.headers.items())
+                self.start(name, reason.value[0], problem.status, headers)
+                self.finish(problem.body)
+
+
+class DispatchHandler(_OutcomeHandler):
+    """``POST /dispatch``: use a grant."""
+
+    def initialize(self, dispatcher: Dispatcher) -> None:
+        """Keep the dispatcher."""
+        self._dispatcher = dispatcher
+        self._running: RunningRequest | None = None
+
+    async def post(self) -> None:
+        """Dispatch a request, or say that it was not dispatched."""
+        dispatch = Dispatch.from_headers(self.request.headers)
+        if dispatch is None:
+            self._not_dispatched(GRANT_INVALID)
+            return
+        outcome = await self._dispatcher.dispatch(
+            dispatch,
+            self.request.headers,
+            self.request.body,
+            _HandlerSink(self),
+            self._note_running,
+        )
+        self._running = None
+        if self._finished or self.request.connection is None:
+            return
+        match outcome:
+            case NotDispatched(reason=reason):
+                self._not_dispatched(reason)
+            case Run() | NotRun() | NotKnown():
+                self.answer(outcome)
+            case None:
+                pass
+
+    def on_connection_close(self) -> None:
+        """Tell the dispatcher that the entry is gone."""
+        if self._running is not None:
+            self._dispatcher.entry_left(self._running)
+
+    def abort(self) -> None:
+        """Close the connection without a proper end."""
+        self._finished = True
+        self.detach().close()
+
+    def _note_running(self, running: RunningRequest) -> None:
+        self._running = running
+
+    def _not_dispatched(self, reason: str) -> None:
+        self.start(NOT_DISPATCHED, reason, 409, [])
+        self.finish()
+
+
+class OrderHandler(_OutcomeHandler):
+    """``GET /v1/orders/{service}/{key}?organisation=``, asked by entries."""
+
+    def initialize(self, dispatcher: Dispatcher, orders: Orders) -> None:
+        """Keep what answers."""
+        self._dispatcher = dispatcher
+        self._orders = orders
+
+    async def get(self, service: str, key: str) -> None:
+        """Answer with the stored response or the state of the order."""
+        row = self._dispatcher.sheet.services.get(service)
+        if row is None:
+            self.answer(NotRun(Reason.UNKNOWN_SERVICE))
+            return
+        organisation = self.get_query_argument("organisation", "")
+        self.answer(await self._orders.lookup(row, key, organisation))
+
+
+def agent_routes(
+    dispatcher: Dispatcher, orders: Orders
+) -> list[tuple[str, type[tornado.web.RequestHandler], dict[str, object]]]:
+    """Return the routes towards entries.
+
+    Parameters
+    ----------
+    dispatcher : Dispatcher
+        Runs requests.
+    orders : Orders
+        Answers questions about orders.
+
+    Returns
+    -------
+    list of tuple
+        Route specifications for `tornado.web.Application`.
+    """
+    return [
+        (DISPATCH_PATH, DispatchHandler, {"dispatcher": dispatcher}),
+        (
+            r"/v1/orders/([^/]+)/([^/]+)",
+            OrderHandler,
+            {"dispatcher": dispatcher, "orders": orders},
+        ),
+    ]
--- /dev/null
+++ b/src/pomelothread/agent/orders.py
@@ -0,0 +1,288 @@
+"""Orders: requests whose key is claimed on the log before they run."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import Any
+from urllib.parse import quote
+
+from ..clock import Clock
+from ..events import Event, log_event
+from ..log.claim_results import (
+    AlreadyDone,
+    AlreadyRunning,
+    ClaimAbandoned,
+    Claimed,
+    ClaimNotKnown,
+    ClaimToken,
+    ClaimUnavailable,
+    KeyExpired,
+    KeyNotDated,
+    KeyReused,
+    NeverSeen,
+)
+from ..log.claims import Claimant
+from ..operators.sheet import Service
+from ..outcomes import NotKnown, NotRun, Reason, Run
+from ..peers.dispatch import Dispatch
+from ..peers.headers import end_to_end_headers
+from ..peers.http_exchange import ExchangeClient, ResponseHead
+
+_logger = logging.getLogger(__name__)
+
+ASK_AGAIN_S = 1.0
+LOOKUP_TIMEOUT_S = 5.0
+MAX_STORED_BYTES = 1024 * 1024
+# Delays between lookups of an order whose answer was lost. The upstream may
+# still be working on it, so "not found" is not final.
+LOOKUP_DELAYS_S = (0.5, 1.0, 2.0, 5.0, 10.0, 30.0, 60.0)
+
+_OrderId = tuple[str, str, str]
+
+
+class Orders:
+    """Claims keys, records how orders ended, and answers questions about them.
+
+    Parameters
+    ----------
+    claimant : Claimant
+        Claims on the log.
+    client : ExchangeClient
+        Towards the upstream, for its own lookup by key.
+    upstream_url : str
+        Base URL of the upstream.
+    clock : Clock
+        For the delays between lookups.
+    append_crash_record : callable
+        Appends a record to the topic of crashes in the background.
+    """
+
+    __slots__ = (
+        "_claimant",
+        "_client",
+        "_clock",
+        "_lookups",
+        "_lost",
+        "_url",
+        "append_crash_record",
+    )
+
+    def __init__(
+        self,
+        claimant: Claimant,
+        client: ExchangeClient,
+        upstream_url: str,
+        clock: Clock,
+        append_crash_record: Callable[[dict[str, Any]], None],
+    ) -> None:
+        self._claimant = claimant
+        self._client = client
+        self._url = upstream_url.rstrip("/")
+        self._clock = clock
+        self._lost: set[_OrderId] = set()
+        self._lookups: set[asyncio.Task[None]] = set()
+        self.append_crash_record = append_crash_record
+
+    def status_url(self, dispatch: Dispatch) -> str:
+        """Return where the caller can ask what became of the order."""
+        return (
+            f"/v1/orders/{quote(dispatch.service, safe='')}"
+            f"/{quote(dispatch.key, safe='')}"
+        )
+
+    async def claim(
+        self, dispatch: Dispatch, service: Service, body: bytes
+    ) -> ClaimToken | Run | NotRun | NotKnown:
+        """Claim the key of an order.
+
+        Parameters
+        ----------
+        dispatch : Dispatch
+            The order, with its key.
+        service : Service
+            Its row of the sheet.
+        body : bytes
+            As the upstream would be sent it.
+
+        Returns
+        -------
+        ClaimToken, Run, NotRun or NotKnown
+            With a token the order may be dispatched, once. Anything else is
+            the answer to the caller.
+        """
+        if not dispatch.key:
+            return NotRun(Reason.MISSING_KEY, "Send an Idempotency-Key header.")
+        result = await self._claimant.claim(
+            dispatch.key,
+            body,
+            dispatch.service,
+            dispatch.organisation,
+            service.key_life_s,
+            service.dated_keys,
+        )
+        url = self.status_url(dispatch)
+        match result:
+            case Claimed(token=token):
+                return token
+            case AlreadyDone(run=run):
+                return run
+            case AlreadyRunning() if self._order_id(dispatch) in self._lost:
+                return await self._ask_upstream(dispatch, service)
+            case AlreadyRunning():
+                detail = "The order with this key is running; ask for its outcome."
+                return NotKnown(Reason.ORDER_RUNNING, detail, url, ASK_AGAIN_S)
+            case KeyReused():
+                detail = "The key belongs to an order with another body."
+                return NotRun(Reason.KEY_REUSED, detail)
+            case KeyExpired():
+                detail = (
+                    f"The key is older than {service.key_life_s:.0f} s. This request"
+                    " was not run; whether an earlier one ran is no longer known."
+                )
+                return NotRun(Reason.KEY_EXPIRED, detail)
+            case KeyNotDated():
+                detail = "The key must be a UUIDv7 whose time is not in the future."
+                return NotRun(Reason.KEY_NOT_DATED, detail)
+            case ClaimNotKnown():
+                return await self._ask_upstream(dispatch, service)
+            case ClaimUnavailable(retry_after_s=retry_after_s):
+                log_event(
+                    _logger,
+                    Event.CLAIM_UNAVAILABLE,
+                    key_digest=quote(dispatch.key)[:16],
+                    service=dispatch.service,
+                    detail="the claim was not confirmed in time",
+                )
+                detail = "The key could not be claimed on the log; it did not run."
+                return NotRun(Reason.LOG_UNAVAILABLE, detail, retry_after_s)
+
+    async def lookup(
+        self, service: Service, key: str, organisation: str
+    ) -> Run | NotRun | NotKnown:
+        """Answer what became of an order.
+
+        Parameters
+        ----------
+        service : Service
+            What was ordered.
+        key : str
+            The idempotency key.
+        organisation : str
+            Whose order it is.
+
+        Returns
+        -------
+        Run, NotRun or NotKnown
+            `NotRun` with `UNKNOWN_KEY` if no claim on the key is on the log.
+        """
+        dispatch = _question(service, key, organisation)
+        url = self.status_url(dispatch)
+        match await self._claimant.lookup(service.name, key, organisation):
+            case AlreadyDone(run=run):
+                return run
+            case AlreadyRunning() if self._order_id(dispatch) not in self._lost:
+                return NotKnown(
+                    Reason.ORDER_RUNNING, "The order is running.", url, ASK_AGAIN_S
+                )
+            case ClaimAbandoned():
+                detail = "The order was not run; the same key may be sent again."
+                return NotRun(Reason.NO_UPSTREAM, detail, ASK_AGAIN_S)
+            case NeverSeen():
+                return NotRun(Reason.UNKNOWN_KEY)
+            case ClaimUnavailable(retry_after_s=retry_after_s):
+                detail = "The log cannot be read now."
+                return NotKnown(Reason.LOG_UNAVAILABLE, detail, url, retry_after_s)
+            case _:
+                return await self._ask_upstream(dispatch, service)
+
+    async def finish(
+        self,
+        token: ClaimToken,
+        status: int,
+        headers: tuple[tuple[str, str], ...],
+        body: bytes,
+    ) -> None:
+        """Record the response to an order."""
+        await self._claimant.finish(token, status, headers, body)
+
+    async def abandon(self, token: ClaimToken) -> None:
+        """Record that an order was not dispatched and never will be."""
+        await self._claimant.abandon(token)
+
+    def resolve_later(
+        self, dispatch: Dispatch, service: Service, token: ClaimToken
+    ) -> None:
+        """Find out the result of an order whose answer was lost.
+
+        Parameters
+        ----------
+        dispatch : Dispatch
+            The order.
+        service : Service
+            Its row of the sheet; without a lookup path it stays not known.
+        token : ClaimToken
+            Its claim, for recording the result.
+        """
+        self._lost.add(self._order_id(dispatch))
+        if not service.lookup_path:
+            return
+        task = asyncio.create_task(self._resolve(dispatch, service, token))
+        self._lookups.add(task)
+        task.add_done_callback(self._lookups.discard)
+
+    async def _resolve(
+        self, dispatch: Dispatch, service: Service, token: ClaimToken
+    ) -> None:
+        for delay_s in LOOKUP_DELAYS_S:
+            await self._clock.sleep(delay_s)
+            run = await self._look_up(dispatch, service)
+            if run is None:
+                continue
+            await self._claimant.finish(token, run.status, run.headers, run.body)
+            self._lost.discard(self._order_id(dispatch))
+            return
+
+    async def _ask_upstream(
+        self, dispatch: Dispatch, service: Service
+    ) -> Run | NotKnown:
+        """Settle an order without a recorded result, if the upstream can."""
+        run = await self._look_up(dispatch, service)
+        if run is not None:
+            return run
+        detail = "The order may have run; its answer was lost."
+        url = self.status_url(dispatch)
+        return NotKnown(Reason.ANSWER_LOST, detail, url, ASK_AGAIN_S)
+
+    async def _look_up(self, dispatch: Dispatch, service: Service) -> Run | None:
+        if not service.lookup_path:
+            return None
+        path = service.lookup_path.rstrip("/") + "/" + quote(dispatch.key, safe="")
+        exchange = self._client.open_exchange(
+            "GET", self._url + path, {}, total_timeout_s=LOOKUP_TIMEOUT_S
+        )
+        head = await exchange.head()
+        if not isinstance(head, ResponseHead):
+            return None
+        body = await exchange.read_whole(MAX_STORED_BYTES)
+        if head.status != 200 or not isinstance(body, bytes):
+            return None
+        headers = tuple(end_to_end_headers(head.headers.get_all()))
+        return Run(head.status, headers, body, replayed=True)
+
+    def _order_id(self, dispatch: Dispatch) -> _OrderId:
+        return dispatch.organisation, dispatch.service, dispatch.key
+
+
+def _question(service: Service, key: str, organisation: str) -> Dispatch:
+    return Dispatch(
+        request_id="",
+        grant=0,
+        agent_incarnation="",
+        service=service.name,
+        organisation=organisation,
+        method="GET",
+        path="",
+        content_type="",
+        key=key,
+        never_repeated=True,
+    )
--- /dev/null
+++ b/src/pomelothread/agent/process.py
@@ -0,0 +1,442 @@
+"""The agent as a process: its tasks, and how it starts and stops."""
+
+import asyncio
+import logging
+from typing import Any
+
+from ..clock import Clock
+from ..events import Event, log_event
+from ..instance_list.client import InstanceListClient, follow_instances
+from ..instance_list.membership import Membership
+from ..log.claims import Claimant
+from ..log.client import HttpLogClient
+from ..log.tail import LogTail
+from ..metrics import Metrics
+from ..operators.changes import SheetChange
+from ..operators.following import FollowSettings, FollowStatus, follow_sheet
+from ..operators.replication import SheetReplica
+from ..peers.control import ControlChannel
+from ..peers.http_exchange import ExchangeClient
+from ..peers.messages import (
+    CLOSED,
+    DRAINING,
+    OPEN,
+    AgentBeat,
+    Decline,
+    EntryBeat,
+    Offer,
+    RaiseFloor,
+    Revoke,
+    Withdraw,
+)
+from ..peers.node import Tasks, announce, listen_http, new_incarnation, stop_event
+from ..peers.sheets import adopt_from_peers
+from ..peers.status import NodeStatus, StatusSource, status_routes
+from ..policy.crashes import CRASH_TOPIC, CrashBook
+from ..policy.places import PlaceLimit
+from ..settings import AgentSettings
+from ..tracing import setup_tracing
+from .crash_reports import CrashReports
+from .dispatcher import Dispatcher, wait_until_idle
+from .grants import ENTRY_SILENCE_S, Grants, Reply
+from .http import agent_routes
+from .orders import Orders
+from .rates import Rates
+from .upstream_health import UpstreamHealth
+
+_logger = logging.getLogger(__name__)
+
+ROLE = "agent"
+BEAT_PERIOD_S = 0.5
+# A stalled engine is noticed within two looks after 80 ms of silence.
+WATCH_PERIOD_S = 0.05
+DRAIN_POLL_S = 0.05
+# Dispatches of orders and lookups come on top of the places.
+EXTRA_EXCHANGES = 64
+
+
+class Agent:
+    """One agent, beside one upstream.
+
+    Parameters
+    ----------
+    settings : AgentSettings
+        Validated settings.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(self, settings: AgentSettings, clock: Clock) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._started_at_s = clock.monotonic_s()
+        self._stop = stop_event()
+        self.incarnation = new_incarnation()
+        self._http_address = ""
+        self._sheet_at_end = False
+        self._log_failed = False
+        self._is_stopping = False
+        self._is_ready = False
+        self._leaving_said_by_entries: set[str] = set()
+        self._entries: dict[str, tuple[str, float]] = {}
+        places = settings.places
+        node = settings.node
+        limit = PlaceLimit(
+            places.initial,
+            places.minimum,
+            places.maximum,
+            places.max_context_tokens,
+            places.target_token_gap_s,
+            places.reserved_share,
+        )
+        self._channel = ControlChannel(settings.control_address)
+        self._grants = Grants(self.incarnation, limit, clock)
+        self._grants.state = CLOSED
+        self._rates = Rates()
+        self._membership = Membership()
+        self._replica = SheetReplica()
+        self._metrics = Metrics(clock)
+        self._crashes = CrashBook(self.incarnation)
+        self._log = HttpLogClient(
+            settings.log_address, timeout_s=settings.claims.confirm_timeout_s
+        )
+        self._client = ExchangeClient(max_exchanges=places.maximum + EXTRA_EXCHANGES)
+        self._claimant = Claimant(
+            self._log,
+            settings.pool,
+            node.instance,
+            clock,
+            retention_s=settings.claims.retention_s,
+            is_instance_live=self._is_instance_live,
+            confirm_timeout_s=settings.claims.confirm_timeout_s,
+        )
+        self._health = UpstreamHealth(
+            self._client, settings.upstream.url, clock, self._use_health
+        )
+        self._reports = CrashReports(
+            self._crashes, self._log, clock, self._health.refuses_connections
+        )
+        self._orders = Orders(
+            self._claimant,
+            self._client,
+            settings.upstream.url,
+            clock,
+            self._reports.append,
+        )
+        self._dispatcher = Dispatcher(
+            grants=self._grants,
+            orders=self._orders,
+            crashes=self._crashes,
+            client=self._client,
+            upstream_url=settings.upstream.url,
+            clock=clock,
+            tracer=setup_tracing(settings.tracing, "pomelothread-agent", node.instance),
+            rates=self._rates,
+            send_replies=self._send_replies,
+            on_cut=self._reports.connection_cut,
+        )
+        self._add_gauges()
+
+    async def run(self) -> int:
+        """Serve until SIGTERM, then finish what runs.
+
+        Returns
+        -------
+        int
+            The exit code of the process.
+        """
+        source = StatusSource(
+            self.status, lambda: self._is_ready, self._replica.snapshot, self._metrics
+        )
+        routes: list[Any] = agent_routes(self._dispatcher, self._orders)
+        routes += status_routes(source)
+        # Binding the port comes before the claimant starts: from then on, no
+        # earlier process of this slot is alive.
+        server, self._http_address = listen_http(routes, self._settings.http_address)
+        log_event(
+            _logger,
+            Event.AGENT_STARTED,
+            pool=self._settings.pool,
+            incarnation=self.incarnation,
+            http_address=self._http_address,
+            control_address=self._channel.address,
+        )
+        tasks = Tasks(on_failure=self._stop.set)
+        self._start_tasks(tasks)
+        announce(self._http_address, self._channel.address)
+        await self._stop.wait()
+        if not tasks.failed:
+            await self._drain()
+        server.stop()
+        await server.close_all_connections()
+        await tasks.cancel()
+        self._client.close()
+        self._channel.close()
+        uptime_s = round(self._clock.monotonic_s() - self._started_at_s, 1)
+        log_event(_logger, Event.AGENT_STOPPED, uptime_s=uptime_s)
+        return 1 if tasks.failed else 0
+
+    def status(self) -> NodeStatus:
+        """Return the state of the process for operators."""
+        sheet = self._replica.sheet
+        return NodeStatus(
+            instance=self._settings.node.instance,
+            role=ROLE,
+            incarnation=self.incarnation,
+            state=self._grants.state,
+            sheet_version=sheet.version,
+            sheet_digest=sheet.digest,
+            n_waiting=len(self._grants.queue),
+            n_running=self._grants.n_running,
+        )
+
+    def _start_tasks(self, tasks: Tasks) -> None:
+        settings = self._settings
+        listing = InstanceListClient(settings.instance_list_address)
+        crash_tail = LogTail(self._log, CRASH_TOPIC, self._clock, self._reports.fold)
+        tasks.start("control", self._receive())
+        tasks.start("beats", self._beat())
+        tasks.start("places", self._watch_places())
+        tasks.start("health", self._health.run())
+        tasks.start("claims", self._claimant.run())
+        tasks.start("crashes", crash_tail.run())
+        tasks.start(
+            "instances", follow_instances(listing, self._clock, self._use_instances)
+        )
+        tasks.start(
+            "sheet",
+            follow_sheet(
+                self._replica,
+                HttpLogClient(settings.log_address),
+                self._clock,
+                FollowSettings(settings.node.instance, settings.claims.retention_s),
+                self._use_sheet,
+                self._note_sheet_status,
+            ),
+        )
+        tasks.start(
+            "sheet-from-peers",
+            adopt_from_peers(
+                self._replica,
+                self._client,
+                self._clock,
+                self._peer_addresses,
+                lambda: self._log_failed or not self._sheet_at_end,
+                self._use_sheet,
+            ),
+        )
+
+    async def _receive(self) -> None:
+        """Handle the messages of all entries, in order of arrival."""
+        while True:
+            message = await self._channel.receive()
+            match message:
+                case Offer():
+                    replies = self._grants.offer(message)
+                case Withdraw():
+                    replies = self._grants.withdraw(message)
+                case Decline():
+                    replies = self._grants.decline(message)
+                case Revoke():
+                    replies = self._grants.revoke(message)
+                case RaiseFloor():
+                    replies = self._grants.raise_floor(message)
+                case EntryBeat():
+                    self._hear_entry(message)
+                    replies = []
+                case _:
+                    self._channel.n_dropped += 1
+                    replies = []
+            self._send_replies(replies)
+
+    async def _beat(self) -> None:
+        """Send heartbeats to all entries that have been heard."""
+        while True:
+            self._forget_silent_entries()
+            beat = self._agent_beat()
+            for inbox, _ in self._entries.values():
+                self._channel.send(inbox, beat)
+            await self._clock.sleep(BEAT_PERIOD_S)
+
+    async def _watch_places(self) -> None:
+        """Expire grants and notice a stalled upstream."""
+        limit = self._grants.limit
+        while True:
+            now_s = self._clock.monotonic_s()
+            limit.is_straggling(now_s, self._dispatcher.n_streaming)
+            self._send_replies(self._grants.expire())
+            await self._clock.sleep(WATCH_PERIOD_S)
+
+    def _hear_entry(self, beat: EntryBeat) -> None:
+        is_new = beat.incarnation not in self._entries
+        now_s = self._clock.monotonic_s()
+        self._entries[beat.incarnation] = (beat.inbox, now_s)
+        self._grants.hear_entry(beat.incarnation)
+        if self._settings.node.instance in beat.leaving_instances:
+            self._leaving_said_by_entries.add(beat.incarnation)
+        else:
+            self._leaving_said_by_entries.discard(beat.incarnation)
+        if is_new:
+            log_event(
+                _logger, Event.PEER_UP, instance=beat.instance, address=beat.inbox
+            )
+            self._channel.send(beat.inbox, self._agent_beat())
+        self._update_state()
+
+    def _forget_silent_entries(self) -> None:
+        now_s = self._clock.monotonic_s()
+        for incarnation, (inbox, heard_at_s) in list(self._entries.items()):
+            if now_s - heard_at_s <= ENTRY_SILENCE_S:
+                continue
+            del self._entries[incarnation]
+            self._leaving_said_by_entries.discard(incarnation)
+            self._channel.forget(inbox)
+            log_event(
+                _logger,
+                Event.PEER_DOWN,
+                instance=incarnation,
+                address=inbox,
+                cause="no heartbeat",
+            )
+
+    def _agent_beat(self) -> AgentBeat:
+        grants = self._grants
+        node = self._settings.node
+        now_s = self._clock.monotonic_s()
+        return AgentBeat(
+            incarnation=self.incarnation,
+            instance=node.instance,
+            inbox=self._channel.address,
+            pool=self._settings.pool,
+            failure_domain=node.failure_domain,
+            region=node.region,
+            http_address=self._http_address,
+            state=grants.state,
+            n_places=grants.limit.n_places,
+            n_free_places=grants.n_free_places(),
+            waiting_by_rank=grants.queue.counts_by_rank(),
+            token_gap_s=grants.limit.recent_gap_s,
+            prefill_tokens_per_s=self._rates.prefill_tokens_per_s,
+            service_time_s=self._rates.service_time_s,
+            floors=grants.floors.active(now_s),
+            suspects=self._crashes.suspects,
+            convicted=self._crashes.convicted,
+            sheet_version=self._replica.sheet.version,
+        )
+
+    def _send_replies(self, replies: list[Reply]) -> None:
+        for reply in replies:
+            entry = self._entries.get(reply.entry)
+            if entry is not None:
+                self._channel.send(entry[0], reply.message)
+
+    def _use_health(self, is_up: bool) -> None:
+        self._update_state()
+
+    def _use_instances(self, membership: Membership) -> None:
+        self._membership.replace(membership)
+        self._update_state()
+
+    def _use_sheet(self, change: SheetChange) -> None:
+        sheet = change.sheet
+        self._dispatcher.sheet = sheet
+        for fingerprint in sheet.releases.keys() - change.previous.releases.keys():
+            record = self._crashes.release(fingerprint, sheet.version)
+            if record is not None:
+                self._reports.append(record)
+        has_protected = any(
+            service.pool == self._settings.pool and sheet.tiers[service.tier].protected
+            for service in sheet.services.values()
+        )
+        share = self._settings.places.reserved_share if has_protected else 0.0
+        self._grants.limit.set_reserved_share(share)
+        log_event(
+            _logger,
+            Event.SHEET_ACCEPTED,
+            sheet_version=sheet.version,
+            operator=change.operator,
+            digest=sheet.digest,
+        )
+        self._update_state()
+
+    def _note_sheet_status(self, status: FollowStatus) -> None:
+        failed = status.failure is not None
+        if failed and not self._log_failed:
+            detail = status.failure.detail if status.failure else ""
+            log_event(_logger, Event.LOG_UNREACHABLE, topic="sheet", detail=detail)
+        self._log_failed = failed
+        self._sheet_at_end = status.is_at_end
+        self._update_state()
+
+    def _update_state(self) -> None:
+        """Open or close the agent to new work."""
+        state = self._wanted_state()
+        if state == self._grants.state:
+            return
+        if state == OPEN:
+            replies = self._grants.reopen()
+            if not self._is_ready:
+                self._is_ready = True
+                version = self._replica.sheet.version
+                log_event(_logger, Event.AGENT_READY, sheet_version=version)
+        else:
+            replies = self._grants.close(state)
+        self._send_replies(replies)
+        beat = self._agent_beat()
+        for inbox, _ in self._entries.values():
+            self._channel.send(inbox, beat)
+
+    def _wanted_state(self) -> str:
+        instance = self._settings.node.instance
+        is_leaving = bool(self._leaving_said_by_entries) or any(
+            leaving.name == instance for leaving in self._membership.leaving()
+        )
+        if self._is_stopping or is_leaving:
+            return DRAINING
+        has_sheet = self._replica.sheet.version > 0
+        if not has_sheet or not (self._sheet_at_end or self._log_failed):
+            return CLOSED
+        return OPEN if self._health.is_up else CLOSED
+
+    def _is_instance_live(self, instance: str) -> bool:
+        return any(known.name == instance for known in self._membership.all())
+
+    def _peer_addresses(self) -> list[str]:
+        return [
+            instance.http_address
+            for instance in self._membership.all()
+            if instance.name != self._settings.node.instance
+        ]
+
+    async def _drain(self) -> None:
+        """Hand back all offers, then finish what runs, however long it takes."""
+        n_waiting = len(self._grants.queue)
+        self._is_stopping = True
+        self._update_state()
+        log_event(
+            _logger,
+            Event.AGENT_DRAINING,
+            n_waiting=n_waiting,
+            n_running=self._grants.n_running,
+        )
+        await wait_until_idle(self._grants, self._clock, DRAIN_POLL_S)
+        await self._claimant.flush()
+        # The handlers of the last requests still have to write their end.
+        await asyncio.sleep(DRAIN_POLL_S)
+
+    def _add_gauges(self) -> None:
+        metrics = self._metrics
+        grants = self._grants
+        gauges = {
+            "places": lambda: float(grants.limit.n_places),
+            "running_requests": lambda: float(grants.n_running),
+            "waiting_offers": lambda: float(len(grants.queue)),
+            "dispatched_requests": lambda: float(self._dispatcher.n_dispatched),
+            "expired_grants": lambda: float(grants.n_expired),
+            "control_sent_bytes": lambda: float(self._channel.n_sent_bytes),
+            "control_received_bytes": lambda: float(self._channel.n_received_bytes),
+            "sheet_version": lambda: float(self._replica.sheet.version),
+        }
+        for name, read in gauges.items():
+            text = f"{name.replace('_', ' ')}.".capitalize()
+            metrics.gauge(name, text).labels().set_function(read)
--- /dev/null
+++ b/src/pomelothread/entry/attempt.py
@@ -0,0 +1,259 @@
+"""One attempt: a bound request is sent to its agent and the response relayed."""
+
+import asyncio
+from dataclasses import dataclass
+
+import msgspec
+from opentelemetry.trace import Span
+
+from ..callers.requests import CallerRequest, ResponseSink
+from ..clock import Clock
+from ..peers.control import ControlChannel
+from ..peers.dispatch import (
+    DISPATCH_PATH,
+    NOT_DISPATCHED,
+    OUTCOME_HEADER,
+    REASON_HEADER,
+    Dispatch,
+)
+from ..peers.headers import end_to_end_headers
+from ..peers.http_exchange import (
+    Cancelled,
+    Complete as ExchangeComplete,
+    End,
+    Exchange,
+    ExchangeClient,
+    NotConnected,
+    ResponseHead,
+)
+from ..peers.messages import Grant, Revoke, Revoked
+from ..policy.retries import (
+    AttemptEnd,
+    Complete,
+    CutAfterHead,
+    LostBeforeHead,
+    NotDispatched,
+    NothingSent,
+)
+from ..tracing import inject_context
+from .agents import AgentTable, KnownAgent
+
+REVOKE_WAIT_S = 0.5
+MAX_WHOLE_RESPONSE_BYTES = 64 * 1024 * 1024
+EVENT_STREAM = "text/event-stream"
+
+# How long an agent may be silent before the entry stops waiting for it. Before
+# the head, the caller's deadline must have passed as well, since a paused agent
+# that resumes still delivers.
+SILENCE_BEFORE_HEAD_S = 2.5
+SILENCE_AFTER_HEAD_S = 30.0
+WATCH_PERIOD_S = 0.5
+
+CUT_EVENT = b"event: error\ndata: %s\n\n" % msgspec.json.encode(
+    {
+        "error": {
+            "message": "The answer was cut; it ran, but the rest is lost.",
+            "type": "answer-cut",
+            "code": "answer-cut",
+        }
+    }
+)
+
+
+@dataclass(slots=True)
+class Attempt:
+    """State of one attempt while it runs.
+
+    Parameters
+    ----------
+    request : CallerRequest
+        What is sent.
+    request_id : str
+        Unique in the fleet.
+    grant : Grant
+        The place that it is bound to.
+    agent : KnownAgent
+        The agent that made the grant.
+    deadline_at_s : float
+        Monotonic time of the caller's deadline.
+    exchange : Exchange or None
+        The HTTP exchange, once it is open.
+    started : bool
+        Whether the caller has been sent the head of the response.
+    n_bytes : int
+        Body bytes passed to the caller.
+    gave_up : bool
+        Whether the entry stopped waiting because the agent was silent.
+    """
+
+    request: CallerRequest
+    request_id: str
+    grant: Grant
+    agent: KnownAgent
+    deadline_at_s: float
+    exchange: Exchange | None = None
+    started: bool = False
+    n_bytes: int = 0
+    gave_up: bool = False
+
+
+class Attempts:
+    """Runs attempts and matches the answers to `Revoke`.
+
+    Parameters
+    ----------
+    incarnation : str
+        The entry's incarnation.
+    channel : ControlChannel
+        To the agents.
+    agents : AgentTable
+        Which agents there are.
+    client : ExchangeClient
+        For the POST to an agent.
+    clock : Clock
+        Source of monotonic time.
+    """
+
+    __slots__ = ("_agents", "_channel", "_clock", "_incarnation", "_revokes", "client")
+
+    def __init__(
+        self,
+        incarnation: str,
+        channel: ControlChannel,
+        agents: AgentTable,
+        client: ExchangeClient,
+        clock: Clock,
+    ) -> None:
+        self._incarnation = incarnation
+        self._channel = channel
+        self._agents = agents
+        self.client = client
+        self._clock = clock
+        self._revokes: dict[tuple[str, int], asyncio.Future[bool]] = {}
+
+    async def run(
+        self, attempt: Attempt, sink: ResponseSink, span: Span
+    ) -> AttemptEnd:
+        """Send the request and relay what comes back.
+
+        Parameters
+        ----------
+        attempt : Attempt
+            What to send where; its state is updated.
+        sink : ResponseSink
+            Towards the caller.
+        span : Span
+            Of this hop.
+
+        Returns
+        -------
+        AttemptEnd
+            How it ended, for `policy.retries.decide`.
+        """
+        attempt.exchange = self._open(attempt, span)
+        watch = asyncio.create_task(self._watch(attempt))
+        try:
+            head = await attempt.exchange.head()
+            match head:
+                case ResponseHead():
+                    return await self._relay(attempt, head, sink)
+                case NotConnected():
+                    return NothingSent()
+                case Cancelled(was_sent=False):
+                    return NothingSent()
+                case _:
+                    revoked = await self._revoke(attempt)
+                    return LostBeforeHead(revoked, timed_out=attempt.gave_up)
+        finally:
+            watch.cancel()
+
+    def answer_revoke(self, message: Revoked) -> None:
+        """Take in an agent's answer to `Revoke`."""
+        future = self._revokes.get((message.incarnation, message.grant))
+        if future is not None and not future.done():
+            future.set_result(message.never_used)
+
+    def _open(self, attempt: Attempt, span: Span) -> Exchange:
+        request = attempt.request
+        headers = Dispatch(
+            request_id=attempt.request_id,
+            grant=attempt.grant.grant,
+            agent_incarnation=attempt.grant.incarnation,
+            service=request.service.name,
+            organisation=request.organisation.name,
+            method=request.method,
+            path=request.path,
+            content_type=request.content_type,
+            key=request.key,
+            never_repeated=request.never_repeated,
+        ).to_headers()
+        inject_context(span, headers)
+        url = f"http://{attempt.agent.beat.http_address}{DISPATCH_PATH}"
+        return self.client.open_exchange("POST", url, headers, request.body)
+
+    async def _relay(
+        self, attempt: Attempt, head: ResponseHead, sink: ResponseSink
+    ) -> AttemptEnd:
+        assert attempt.exchange is not None
+        if head.headers.get(OUTCOME_HEADER) == NOT_DISPATCHED:
+            attempt.exchange.cancel()
+            return NotDispatched(head.headers.get(REASON_HEADER, ""))
+        headers = end_to_end_headers(head.headers.get_all())
+        content_type = head.headers.get("Content-Type", "")
+        if not content_type.startswith(EVENT_STREAM):
+            body = await attempt.exchange.read_whole(MAX_WHOLE_RESPONSE_BYTES)
+            if not isinstance(body, bytes):
+                return CutAfterHead()
+            attempt.started = True
+            sink.start(head.status, headers)
+            await sink.write(body)
+            sink.finish()
+            return Complete()
+        attempt.started = True
+        sink.start(head.status, headers)
+        async for chunk in attempt.exchange:
+            attempt.n_bytes += len(chunk)
+            await sink.write(chunk)
+        return self._end_stream(attempt.exchange.end, sink)
+
+    def _end_stream(self, end: End | None, sink: ResponseSink) -> AttemptEnd:
+        match end:
+            case ExchangeComplete(is_delimited=True):
+                sink.finish()
+                return Complete()
+            case _:
+                return CutAfterHead()
+
+    async def _revoke(self, attempt: Attempt) -> bool | None:
+        """Ask whether the grant was used; None if there is no answer in time."""
+        grant = attempt.grant
+        future: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        self._revokes[grant.incarnation, grant.grant] = future
+        message = Revoke(
+            self._incarnation, attempt.request_id, grant.grant, grant.incarnation
+        )
+        self._channel.send(attempt.agent.beat.inbox, message)
+        timer = asyncio.ensure_future(self._clock.sleep(REVOKE_WAIT_S))
+        try:
+            await asyncio.wait({future, timer}, return_when=asyncio.FIRST_COMPLETED)
+            return future.result() if future.done() else None
+        finally:
+            timer.cancel()
+            del self._revokes[grant.incarnation, grant.grant]
+
+    async def _watch(self, attempt: Attempt) -> None:
+        """Close the exchange when its agent has been silent for too long."""
+        exchange = attempt.exchange
+        assert exchange is not None
+        while exchange.end is None:
+            await self._clock.sleep(WATCH_PERIOD_S)
+            now_s = self._clock.monotonic_s()
+            silent_s = now_s - attempt.agent.heard_at_s
+            if attempt.started:
+                is_lost = silent_s > SILENCE_AFTER_HEAD_S
+            else:
+                is_late = now_s > attempt.deadline_at_s
+                is_lost = is_late and silent_s > SILENCE_BEFORE_HEAD_S
+            if is_lost:
+                attempt.gave_up = True
+                exchange.cancel()
--- /dev/null
+++ b/src/pomelothread/entry/orders.py
@@ -0,0 +1,92 @@
+"""What became of an order, asked at the agents of its pool."""
+
+from collections.abc import Sequence
+from urllib.parse import quote
+
+from ..operators.sheet import Service
+from ..outcomes import NotKnown, NotRun, Reason, Run
+from ..peers.dispatch import NOT_KNOWN, NOT_RUN, OUTCOME_HEADER, REASON_HEADER, RUN
+from ..peers.headers import end_to_end_headers
+from ..peers.http_exchange import ExchangeClient, ResponseHead
+from ..policy.routing import AgentView
+
+ASK_TIMEOUT_S = 5.0
+MAX_STORED_BYTES = 1024 * 1024
+RETRY_AFTER_S = 2.0
+
+
+def order_url(service: str, key: str) -> str:
+    """Return where the outcome of an order can be asked for.
+
+    Examples
+    --------
+    >>> order_url("print-order", "a b")
+    '/v1/orders/print-order/a%20b'
+    """
+    return f"/v1/orders/{quote(service, safe='')}/{quote(key, safe='')}"
+
+
+async def ask_order_outcome(
+    client: ExchangeClient,
+    agents: Sequence[AgentView],
+    organisation: str,
+    service: Service,
+    key: str,
+) -> Run | NotRun | NotKnown:
+    """Ask the agents of a pool in turn until one answers.
+
+    Parameters
+    ----------
+    client : ExchangeClient
+        For the HTTP requests.
+    agents : sequence of AgentView
+        Agents of the service's pool; each knows all orders of the pool.
+    organisation : str
+        Whose order it is.
+    service : Service
+        What was ordered.
+    key : str
+        The idempotency key.
+
+    Returns
+    -------
+    Run, NotRun or NotKnown
+        The stored response, or what is known. `NotRun` with `UNKNOWN_KEY`
+        means that no order with this key has been seen.
+    """
+    path = order_url(service.name, key)
+    query = f"organisation={quote(organisation, safe='')}"
+    for agent in agents:
+        exchange = client.open_exchange(
+            "GET",
+            f"http://{agent.http_address}{path}?{query}",
+            {},
+            total_timeout_s=ASK_TIMEOUT_S,
+        )
+        head = await exchange.head()
+        if not isinstance(head, ResponseHead):
+            continue
+        body = await exchange.read_whole(MAX_STORED_BYTES)
+        if not isinstance(body, bytes):
+            continue
+        reason = _reason(head.headers.get(REASON_HEADER, ""))
+        match head.headers.get(OUTCOME_HEADER):
+            case value if value == RUN:
+                headers = tuple(end_to_end_headers(head.headers.get_all()))
+                return Run(head.status, headers, body, replayed=True)
+            case value if value == NOT_RUN:
+                retry_after_s = RETRY_AFTER_S if reason != Reason.UNKNOWN_KEY else None
+                return NotRun(reason, "", retry_after_s)
+            case value if value == NOT_KNOWN:
+                return NotKnown(reason, "The order may have run.", path)
+            case _:
+                continue
+    detail = "No agent of the service's pool could be asked."
+    return NotKnown(Reason.NO_UPSTREAM, detail, path)
+
+
+def _reason(name: str) -> Reason:
+    for reason in Reason:
+        if reason.value[0] == name:
+            return reason
+    return Reason.ANSWER_LOST
--- /dev/null
+++ b/src/pomelothread/entry/process.py
@@ -0,0 +1,332 @@
+"""The entry as a process: its tasks, and how it starts and stops."""
+
+import asyncio
+import logging
+from typing import Any
+
+from ..callers.http import caller_routes
+from ..clock import Clock
+from ..events import Event, log_event
+from ..instance_list.client import InstanceListClient, follow_instances
+from ..instance_list.membership import Membership
+from ..log.client import HttpLogClient
+from ..metrics import Metrics
+from ..operators.changes import SheetChange
+from ..operators.following import FollowSettings, FollowStatus, follow_sheet
+from ..operators.replication import SheetReplica
+from ..peers.control import ControlChannel
+from ..peers.http_exchange import ExchangeClient
+from ..peers.messages import (
+    AgentBeat,
+    EntryBeat,
+    FloorRaised,
+    Grant,
+    Refuse,
+    Revoked,
+)
+from ..peers.node import Tasks, announce, listen_http, new_incarnation, stop_event
+from ..peers.sheets import adopt_from_peers
+from ..peers.status import NodeStatus, StatusSource, status_routes
+from ..policy.crashes import CrashBook
+from ..policy.shedding import Limits
+from ..settings import EntrySettings
+from ..tracing import setup_tracing
+from .agents import AgentTable
+from .attempt import Attempts
+from .floors import FloorRequests
+from .metrics import EntryMetrics
+from .offers import Offers
+from .scheduler import RequestScheduler
+from .waiting import WaitingRequests
+
+_logger = logging.getLogger(__name__)
+
+ROLE = "entry"
+BEAT_PERIOD_S = 0.5
+DRAIN_POLL_S = 0.05
+STARTING = "starting"
+READY = "ready"
+DRAINING = "draining"
+
+
+class Entry:
+    """One entry.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+        Validated settings.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(self, settings: EntrySettings, clock: Clock) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._started_at_s = clock.monotonic_s()
+        self._stop = stop_event()
+        self.incarnation = new_incarnation()
+        self._state = STARTING
+        self._sheet_at_end = False
+        self._log_failed = False
+        self._n_beats = 0
+        node = settings.node
+        self._membership = Membership()
+        self._channel = ControlChannel(settings.control_address)
+        self._agents = AgentTable(clock, self._membership)
+        self._waiting = WaitingRequests(
+            settings.max_waiting, settings.max_waiting_bytes
+        )
+        self._offers = Offers(
+            self.incarnation, self._channel, self._agents, self._waiting, clock
+        )
+        # Every waiting or running request may need one exchange.
+        self._client = ExchangeClient(max_exchanges=2 * settings.max_waiting)
+        self._attempts = Attempts(
+            self.incarnation, self._channel, self._agents, self._client, clock
+        )
+        self._floors = FloorRequests(
+            self.incarnation, self._channel, self._agents, clock
+        )
+        self._crashes = CrashBook(self.incarnation)
+        self._replica = SheetReplica()
+        self._metrics = Metrics(clock)
+        self._scheduler = RequestScheduler(
+            incarnation=self.incarnation,
+            region=node.region,
+            clock=clock,
+            agents=self._agents,
+            waiting=self._waiting,
+            offers=self._offers,
+            attempts=self._attempts,
+            floors=self._floors,
+            crashes=self._crashes,
+            metrics=EntryMetrics(self._metrics),
+            tracer=setup_tracing(settings.tracing, "pomelothread-entry", node.instance),
+            limits=Limits(
+                settings.max_waiting, settings.max_waiting, settings.max_waiting_bytes
+            ),
+        )
+        self._add_gauges()
+
+    async def run(self) -> int:
+        """Serve until SIGTERM, then finish what was accepted.
+
+        Returns
+        -------
+        int
+            The exit code of the process.
+        """
+        source = StatusSource(
+            self.status, self.is_ready, self._replica.snapshot, self._metrics
+        )
+        routes: list[Any] = caller_routes(self._scheduler) + status_routes(source)
+        server, http_address = listen_http(routes, self._settings.http_address)
+        log_event(
+            _logger,
+            Event.ENTRY_STARTED,
+            incarnation=self.incarnation,
+            http_address=http_address,
+            control_address=self._channel.address,
+        )
+        tasks = Tasks(on_failure=self._stop.set)
+        self._start_tasks(tasks)
+        announce(http_address, self._channel.address)
+        await self._stop.wait()
+        if not tasks.failed:
+            await self._drain()
+        server.stop()
+        await server.close_all_connections()
+        await tasks.cancel()
+        self._client.close()
+        self._channel.close()
+        uptime_s = round(self._clock.monotonic_s() - self._started_at_s, 1)
+        log_event(_logger, Event.ENTRY_STOPPED, uptime_s=uptime_s)
+        return 1 if tasks.failed else 0
+
+    def is_ready(self) -> bool:
+        """Whether the load balancer may send requests."""
+        return self._state == READY
+
+    def status(self) -> NodeStatus:
+        """Return the state of the process for operators."""
+        sheet = self._replica.sheet
+        return NodeStatus(
+            instance=self._settings.node.instance,
+            role=ROLE,
+            incarnation=self.incarnation,
+            state=self._state,
+            sheet_version=sheet.version,
+            sheet_digest=sheet.digest,
+            n_waiting=len(self._waiting),
+            n_running=self._scheduler.n_active - len(self._waiting),
+        )
+
+    def _start_tasks(self, tasks: Tasks) -> None:
+        settings = self._settings
+        log = HttpLogClient(settings.log_address)
+        listing = InstanceListClient(settings.instance_list_address)
+        tasks.start("control", self._receive())
+        tasks.start("beats", self._beat())
+        tasks.start(
+            "instances", follow_instances(listing, self._clock, self._use_instances)
+        )
+        tasks.start(
+            "sheet",
+            follow_sheet(
+                self._replica,
+                log,
+                self._clock,
+                FollowSettings(settings.node.instance, settings.log_retention_s),
+                self._use_sheet,
+                self._note_sheet_status,
+            ),
+        )
+        tasks.start(
+            "sheet-from-peers",
+            adopt_from_peers(
+                self._replica,
+                self._client,
+                self._clock,
+                self._peer_addresses,
+                lambda: self._log_failed or not self._sheet_at_end,
+                self._use_sheet,
+            ),
+        )
+
+    async def _receive(self) -> None:
+        """Handle the messages of all agents, in order of arrival."""
+        while True:
+            message = await self._channel.receive()
+            match message:
+                case AgentBeat():
+                    self._hear_agent(message)
+                case Grant():
+                    self._offers.accept(message)
+                case Refuse():
+                    self._offers.refused(message)
+                case Revoked():
+                    self._attempts.answer_revoke(message)
+                case FloorRaised():
+                    self._floors.confirm(message)
+                case _:
+                    self._channel.n_dropped += 1
+
+    async def _beat(self) -> None:
+        """Send heartbeats and repeat open offers."""
+        while True:
+            self._send_beats()
+            self._offers.offer_all()
+            for gone in self._agents.forget_silent():
+                self._channel.forget(gone.beat.inbox)
+            self._update_readiness()
+            await self._clock.sleep(BEAT_PERIOD_S)
+
+    def _send_beats(self) -> None:
+        leaving = tuple(instance.name for instance in self._membership.leaving())
+        beat = EntryBeat(
+            incarnation=self.incarnation,
+            instance=self._settings.node.instance,
+            inbox=self._channel.address,
+            n_offers=len(self._waiting),
+            sheet_version=self._replica.sheet.version,
+            leaving_instances=leaving,
+        )
+        inboxes = {
+            instance.control_address
+            for instance in self._membership.all(role="agent")
+            if instance.control_address
+        }
+        inboxes |= {known.beat.inbox for known in self._agents.all()}
+        for inbox in inboxes:
+            self._channel.send(inbox, beat)
+
+    def _hear_agent(self, beat: AgentBeat) -> None:
+        is_new = self._agents.hear(beat)
+        now_s = self._clock.monotonic_s()
+        self._crashes.observe_peer(
+            beat.suspects, beat.convicted, beat.sheet_version, now_s
+        )
+        self._offers.apply_floors(beat.floors)
+        if is_new:
+            log_event(
+                _logger, Event.PEER_UP, instance=beat.instance, address=beat.inbox
+            )
+            for request in self._waiting:
+                if request.pool == beat.pool:
+                    self._offers.offer(request)
+
+    def _use_sheet(self, change: SheetChange) -> None:
+        self._scheduler.use_sheet(change.sheet)
+        log_event(
+            _logger,
+            Event.SHEET_ACCEPTED,
+            sheet_version=change.sheet.version,
+            operator=change.operator,
+            digest=change.sheet.digest,
+        )
+        self._update_readiness()
+
+    def _note_sheet_status(self, status: FollowStatus) -> None:
+        failed = status.failure is not None
+        if failed and not self._log_failed:
+            detail = status.failure.detail if status.failure else ""
+            log_event(_logger, Event.LOG_UNREACHABLE, topic="sheet", detail=detail)
+        self._log_failed = failed
+        self._sheet_at_end = status.is_at_end
+        self._update_readiness()
+
+    def _use_instances(self, membership: Membership) -> None:
+        self._membership.replace(membership)
+
+    def _update_readiness(self) -> None:
+        """Become ready once a sheet is in force and its topic was read.
+
+        During an outage of the log, the sheet of a peer stands in.
+        """
+        if self._state != STARTING or self._replica.sheet.version == 0:
+            return
+        if self._sheet_at_end or self._log_failed:
+            self._state = READY
+            version = self._replica.sheet.version
+            log_event(_logger, Event.ENTRY_READY, sheet_version=version)
+
+    def _peer_addresses(self) -> list[str]:
+        return [
+            instance.http_address
+            for instance in self._membership.all()
+            if instance.name != self._settings.node.instance
+        ]
+
+    async def _drain(self) -> None:
+        """Go on accepting for a while, then finish everything."""
+        self._state = DRAINING
+        n_waiting = len(self._waiting)
+        log_event(
+            _logger,
+            Event.ENTRY_DRAINING,
+            n_waiting=n_waiting,
+            n_running=self._scheduler.n_active - n_waiting,
+        )
+        await self._clock.sleep(self._settings.drain_accept_s)
+        self._scheduler.accepts = False
+        while self._scheduler.n_active:
+            await self._clock.sleep(DRAIN_POLL_S)
+        # The handlers of the last requests still have to write their end.
+        await asyncio.sleep(DRAIN_POLL_S)
+
+    def _add_gauges(self) -> None:
+        metrics = self._metrics
+        gauges = {
+            "waiting_requests": lambda: float(len(self._waiting)),
+            "waiting_bytes": lambda: float(self._waiting.n_bytes),
+            "active_requests": lambda: float(self._scheduler.n_active),
+            "control_sent_bytes": lambda: float(self._channel.n_sent_bytes),
+            "control_received_bytes": lambda: float(self._channel.n_received_bytes),
+            "declined_grants": lambda: float(self._offers.n_declined),
+            "raised_floors": lambda: float(self._floors.n_raised),
+            "sheet_version": lambda: float(self._replica.sheet.version),
+        }
+        for name, read in gauges.items():
+            text = f"{name.replace('_', ' ')}.".capitalize()
+            metrics.gauge(name, text).labels().set_function(read)
--- /dev/null
+++ b/src/pomelothread/entry/scheduler.py
@@ -0,0 +1,481 @@
+"""Takes each caller's request from its arrival to its final answer."""
+
+import asyncio
+import itertools
+import logging
+import random
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from opentelemetry.trace import Span, SpanKind, Tracer, set_span_in_context
+
+from ..callers.requests import CallerRequest, ResponseSink, index_by_token
+from ..clock import Clock
+from ..events import Event, log_event
+from ..operators.sheet import Organisation, Sheet
+from ..outcomes import NotKnown, NotRun, Reason, Run
+from ..peers.dispatch import MUST_RUN_ALONE, body_fingerprint
+from ..policy.crashes import CrashBook
+from ..policy.retries import (
+    BindAgain,
+    CutAfterHead,
+    Done,
+    NotDispatched,
+    RetryBudget,
+    TellCut,
+    TellNotKnown,
+    TellNotRun,
+    decide,
+)
+from ..policy.routing import RequestFacts, SeenPrefixes, prefix_hashes
+from ..policy.shedding import FLOOR_LEAD_S, Limits, Reject, WaitingSummary, admit
+from ..tracing import extract_context
+from .agents import AgentTable
+from .attempt import CUT_EVENT, Attempt, Attempts
+from .floors import FloorRequests
+from .metrics import EntryMetrics
+from .offers import SHED_RETRY_AFTER_S, Offers
+from .orders import ask_order_outcome, order_url
+from .waiting import Binding, WaitingRequest, WaitingRequests, shed_outcome
+
+_logger = logging.getLogger(__name__)
+
+SHUTDOWN_RETRY_AFTER_S = 1.0
+MAX_RETRY_AFTER_S = 60.0
+
+
+@dataclass(slots=True)
+class _Active:
+    """A request that has no final answer yet."""
+
+    waiting: WaitingRequest
+    attempt: Attempt | None = None
+
+
+class RequestScheduler:
+    """Serves the requests of one entry.
+
+    Parameters
+    ----------
+    incarnation : str
+        The entry's incarnation.
+    region : str
+        The entry's region.
+    clock : Clock
+        Source of monotonic time.
+    agents : AgentTable
+        Which agents there are.
+    waiting : WaitingRequests
+        The requests without a place.
+    offers : Offers
+        Offers them to agents.
+    attempts : Attempts
+        Sends bound requests.
+    floors : FloorRequests
+        Precedes the shedding of protected work.
+    crashes : CrashBook
+        Which requests crash upstreams, as agents report.
+    metrics : EntryMetrics
+        Counts what happens.
+    tracer : Tracer
+        For the spans of each hop.
+    limits : Limits
+        Bounds on what may wait; the organisation's comes from the sheet.
+    """
+
+    def __init__(
+        self,
+        incarnation: str,
+        region: str,
+        clock: Clock,
+        agents: AgentTable,
+        waiting: WaitingRequests,
+        offers: Offers,
+        attempts: Attempts,
+        floors: FloorRequests,
+        crashes: CrashBook,
+        metrics: EntryMetrics,
+        tracer: Tracer,
+        limits: Limits,
+    ) -> None:
+        self._incarnation = incarnation
+        self._region = region
+        self._clock = clock
+        self._agents = agents
+        self._waiting = waiting
+        self._offers = offers
+        self._attempts = attempts
+        self._floors = floors
+        self._crashes = crashes
+        self._metrics = metrics
+        self._tracer = tracer
+        self._limits = limits
+        self._numbers = itertools.count(1)
+        self._prefixes = SeenPrefixes()
+        self._budget = RetryBudget()
+        self._active: dict[int, _Active] = {}
+        # Jitter only; nothing that must be unpredictable depends on it.
+        self._random = random.Random()
+        self._sheet = Sheet()
+        self._by_token: dict[str, Organisation] = {}
+        self.accepts = True
+
+    @property
+    def sheet(self) -> Sheet:
+        """The sheet in force."""
+        return self._sheet
+
+    @property
+    def organisations_by_token(self) -> Mapping[str, Organisation]:
+        """Organisations by the SHA-256 of their token."""
+        return self._by_token
+
+    @property
+    def n_active(self) -> int:
+        """Requests without a final answer."""
+        return len(self._active)
+
+    def use_sheet(self, sheet: Sheet) -> None:
+        """Put a newer sheet in force for requests that arrive from now on."""
+        self._sheet = sheet
+        self._by_token = index_by_token(sheet)
+
+    async def serve(
+        self, request: CallerRequest, headers: Mapping[str, str], sink: ResponseSink
+    ) -> NotRun | NotKnown | None:
+        """Run a request and give its caller the final answer at once.
+
+        Parameters
+        ----------
+        request : CallerRequest
+            A valid request.
+        headers : mapping of str to str
+            The caller's headers, for ``traceparent``.
+        sink : ResponseSink
+            Gets the response, if there is one.
+
+        Returns
+        -------
+        NotRun, NotKnown or None
+            None if the sink has been given a response.
+        """
+        started_at_s = self._clock.monotonic_s()
+        with self._tracer.start_as_current_span(
+            "entry.request",
+            context=extract_context(headers),
+            kind=SpanKind.SERVER,
+            attributes={
+                "pomelothread.service": request.service.name,
+                "pomelothread.organisation": request.organisation.name,
+                "pomelothread.tier": request.service.tier,
+            },
+        ) as span:
+            active = _Active(self._waiting_request(request))
+            self._active[id(request)] = active
+            try:
+                outcome = await self._serve(request, active, sink, span)
+            finally:
+                del self._active[id(request)]
+            self._metrics.finished(
+                request.service, outcome, self._clock.monotonic_s() - started_at_s
+            )
+            span.set_attribute("pomelothread.outcome", _outcome_name(outcome))
+        self._log(request, active, outcome)
+        return outcome
+
+    def caller_left(self, request: CallerRequest) -> None:
+        """Stop working for a caller that closed its connection.
+
+        An order that was sent runs to its end, because its result is recorded
+        under its key; everything else is cancelled at the upstream.
+        """
+        active = self._active.get(id(request))
+        if active is None:
+            return
+        if active.attempt is None:
+            self._waiting.remove(active.waiting)
+            active.waiting.settle(NotRun(Reason.DEADLINE_PASSED, "The caller left."))
+            self._offers.withdraw(active.waiting)
+            return
+        if not request.never_repeated and active.attempt.exchange is not None:
+            active.attempt.exchange.cancel()
+
+    async def order_outcome(
+        self, organisation: Organisation, service: str, key: str
+    ) -> Run | NotRun | NotKnown:
+        """Ask an agent of the service's pool what became of an order."""
+        row = self._sheet.services.get(service)
+        if row is None:
+            return NotRun(Reason.UNKNOWN_SERVICE, f"No service named {service!r}.")
+        views = self._agents.views(row.pool)
+        return await ask_order_outcome(
+            self._attempts.client, views, organisation.name, row, key
+        )
+
+    async def _serve(
+        self,
+        request: CallerRequest,
+        active: _Active,
+        sink: ResponseSink,
+        span: Span,
+    ) -> NotRun | NotKnown | None:
+        waiting = active.waiting
+        rejection = self._admit(waiting)
+        if rejection is not None:
+            return rejection
+        self._budget.earn()
+        n_attempts = 0
+        while True:
+            binding = await self._wait_for_place(waiting, span)
+            if isinstance(binding, NotRun):
+                return binding
+            n_attempts += 1
+            agent = self._agents.get(binding.grant.incarnation)
+            assert agent is not None, "a grant is accepted from known agents only"
+            attempt = Attempt(
+                request, waiting.request_id, binding.grant, agent, waiting.deadline_at_s
+            )
+            active.attempt = attempt
+            with self._tracer.start_as_current_span(
+                "entry.dispatch",
+                context=set_span_in_context(span),
+                kind=SpanKind.CLIENT,
+                attributes={"pomelothread.agent": agent.beat.instance},
+            ) as hop:
+                end = await self._attempts.run(attempt, sink, hop)
+            if isinstance(end, CutAfterHead) and not attempt.started:
+                return self._not_known(request, Reason.ANSWER_LOST)
+            decision = decide(
+                end,
+                deadline_left_s=waiting.deadline_at_s - self._clock.monotonic_s(),
+                n_attempts=n_attempts,
+                keyed=request.never_repeated,
+                protected=waiting.protected,
+                budget=self._budget,
+            )
+            match decision:
+                case Done():
+                    return None
+                case TellCut():
+                    sink.abort(CUT_EVENT)
+                    self._metrics.cut.add()
+                    log_event(
+                        _logger,
+                        Event.STREAM_CUT,
+                        request_id=waiting.request_id,
+                        service=request.service.name,
+                        n_bytes=attempt.n_bytes,
+                        agent=agent.beat.instance,
+                    )
+                    return None
+                case TellNotKnown(reason=reason):
+                    return self._not_known(request, reason)
+                case TellNotRun(reason=Reason.DEADLINE_PASSED) if waiting.protected:
+                    delay_s = 0.0
+                case TellNotRun(reason=reason):
+                    return NotRun(reason, "", SHED_RETRY_AFTER_S)
+                case BindAgain(delay_s=delay_s):
+                    pass
+            waiting = self._wait_again(waiting, end)
+            active.waiting = waiting
+            active.attempt = None
+            await self._clock.sleep(delay_s)
+            self._hold(waiting)
+
+    def _waiting_request(self, request: CallerRequest) -> WaitingRequest:
+        service = request.service
+        tier = self._sheet.tiers[service.tier]
+        hashes = prefix_hashes(request.prompt)
+        facts = RequestFacts(
+            tier_rank=tier.rank,
+            protected=tier.protected,
+            n_input_tokens=request.n_input_tokens,
+            n_output_tokens=request.n_output_tokens,
+            deadline_at_s=self._clock.monotonic_s() + request.deadline_s,
+            prefix_hashes=hashes,
+            region=self._region,
+            n_seen_prefixes=self._prefixes.observe(hashes),
+        )
+        fingerprint = body_fingerprint(service.name, request.path, request.body)
+        return WaitingRequest(
+            request_id=f"{self._incarnation}-{next(self._numbers)}",
+            pool=service.pool,
+            service=service.name,
+            organisation=request.organisation.name,
+            share=request.organisation.share,
+            facts=facts,
+            deadline_at_s=facts.deadline_at_s,
+            n_body_bytes=len(request.body),
+            solo=self._crashes.must_run_alone(fingerprint),
+            convicted=self._crashes.is_convicted(fingerprint),
+        )
+
+    def _wait_again(self, waiting: WaitingRequest, end: object) -> WaitingRequest:
+        """Return a request for another round; its first wait is settled."""
+        again = WaitingRequest(
+            request_id=f"{self._incarnation}-{next(self._numbers)}",
+            pool=waiting.pool,
+            service=waiting.service,
+            organisation=waiting.organisation,
+            share=waiting.share,
+            facts=waiting.facts,
+            deadline_at_s=waiting.deadline_at_s,
+            n_body_bytes=waiting.n_body_bytes,
+            solo=waiting.solo,
+        )
+        match end:
+            case NotDispatched(reason=reason) if reason == MUST_RUN_ALONE:
+                again.solo = True
+        return again
+
+    def _admit(self, waiting: WaitingRequest) -> NotRun | None:
+        """Decide on arrival; None if the request now waits."""
+        if not self.accepts:
+            return NotRun(Reason.SHUTTING_DOWN, "", SHUTDOWN_RETRY_AFTER_S)
+        if waiting.convicted:
+            detail = "An identical request has crashed upstreams; it did not run."
+            return NotRun(Reason.CONVICTED, detail)
+        organisation = self._sheet.organisations.get(waiting.organisation)
+        limits = Limits(
+            self._limits.max_waiting,
+            organisation.max_waiting if organisation is not None else 0,
+            self._limits.max_waiting_bytes,
+        )
+        summary = WaitingSummary(
+            n_waiting=len(self._waiting),
+            n_waiting_of_organisation=self._waiting.n_waiting(waiting.organisation),
+            n_waiting_bytes=self._waiting.n_bytes,
+            lowest_rank=self._waiting.lowest_rank(),
+        )
+        decision = admit(
+            waiting.facts,
+            self._agents.views(waiting.pool),
+            summary,
+            limits,
+            self._clock.monotonic_s(),
+            jitter=self._random.random(),
+        )
+        if isinstance(decision, Reject):
+            retry_after_s = min(decision.retry_after_s, MAX_RETRY_AFTER_S)
+            return NotRun(decision.reason, "", retry_after_s)
+        self._hold(waiting)
+        return None
+
+    def _hold(self, waiting: WaitingRequest) -> None:
+        """Let a request wait, and shed others if there are now too many."""
+        self._waiting.add(waiting)
+        while self._waiting.is_over():
+            evicted = self._waiting.evict_unprotected(shed_outcome(SHED_RETRY_AFTER_S))
+            if evicted is None:
+                # Only protected work is left; see `_wait_protected`.
+                waiting.overflows = True
+                break
+            self._offers.withdraw(evicted)
+        if not waiting.settled.done():
+            self._offers.offer(waiting)
+
+    async def _wait_for_place(
+        self, waiting: WaitingRequest, span: Span
+    ) -> Binding | NotRun:
+        """Wait for a grant, at most until the deadline."""
+        with self._tracer.start_as_current_span(
+            "entry.wait", context=set_span_in_context(span)
+        ):
+            if waiting.protected:
+                await self._wait_protected(waiting)
+            else:
+                await self._wait_until(waiting, waiting.deadline_at_s)
+            reason = Reason.DEADLINE_PASSED
+            if waiting.overflows:
+                reason = Reason.OVERLOADED
+            if waiting.settle(NotRun(reason, "", SHED_RETRY_AFTER_S)):
+                self._waiting.remove(waiting)
+                self._offers.withdraw(waiting)
+            return waiting.settled.result()
+
+    async def _wait_protected(self, waiting: WaitingRequest) -> None:
+        """Wait for a grant, and return without one only under a raised floor."""
+        if not waiting.overflows:
+            await self._wait_until(waiting, waiting.deadline_at_s - FLOOR_LEAD_S)
+        while not waiting.settled.done():
+            raising = asyncio.ensure_future(
+                self._floors.raise_floor(waiting.pool, waiting.tier_rank)
+            )
+            await asyncio.wait(
+                {waiting.settled, raising}, return_when=asyncio.FIRST_COMPLETED
+            )
+            raising.cancel()
+            self._shed_below(waiting)
+            if waiting.overflows and not self._waiting.is_over():
+                waiting.overflows = False
+            if not waiting.overflows:
+                await self._wait_until(waiting, waiting.deadline_at_s)
+            # The floor may have expired, or an agent appeared, since it was
+            # raised; then it is raised again.
+            if self._floors.may_shed(waiting.pool, waiting.tier_rank):
+                self._shed_below(waiting)
+                return
+
+    def _shed_below(self, waiting: WaitingRequest) -> None:
+        if waiting.settled.done():
+            return
+        for shed in self._waiting.shed_below(
+            waiting.pool, waiting.tier_rank, shed_outcome(SHED_RETRY_AFTER_S)
+        ):
+            self._offers.withdraw(shed)
+
+    async def _wait_until(self, waiting: WaitingRequest, at_s: float) -> None:
+        delay_s = at_s - self._clock.monotonic_s()
+        if delay_s <= 0 or waiting.settled.done():
+            return
+        timer = asyncio.ensure_future(self._clock.sleep(delay_s))
+        await asyncio.wait(
+            {waiting.settled, timer}, return_when=asyncio.FIRST_COMPLETED
+        )
+        timer.cancel()
+
+    def _not_known(self, request: CallerRequest, reason: Reason) -> NotKnown:
+        url = ""
+        if request.never_repeated:
+            url = order_url(request.service.name, request.key)
+        return NotKnown(reason, "The request may have run.", url)
+
+    def _log(
+        self,
+        request: CallerRequest,
+        active: _Active,
+        outcome: NotRun | NotKnown | None,
+    ) -> None:
+        match outcome:
+            case NotRun(reason=reason):
+                log_event(
+                    _logger,
+                    Event.REQUEST_SHED,
+                    request_id=active.waiting.request_id,
+                    organisation=request.organisation.name,
+                    service=request.service.name,
+                    reason=reason.value[0],
+                )
+            case NotKnown(reason=reason):
+                agent = active.attempt.agent.beat.instance if active.attempt else ""
+                log_event(
+                    _logger,
+                    Event.OUTCOME_NOT_KNOWN,
+                    request_id=active.waiting.request_id,
+                    organisation=request.organisation.name,
+                    service=request.service.name,
+                    reason=reason.value[0],
+                    agent=agent,
+                )
+            case None:
+                pass
+
+
+def _outcome_name(outcome: NotRun | NotKnown | None) -> str:
+    match outcome:
+        case NotRun():
+            return "not-run"
+        case NotKnown():
+            return "not-known"
+        case None:
+            return "run"
--- a/src/pomelothread/entry/waiting.py
+++ b/src/pomelothread/entry/waiting.py
@@ -1,6 +1,7 @@
 """Requests that wait at this entry for a place at some agent."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
@@ -36,6 +37,10 @@
         Memory that its body holds.
     solo : bool
         True if it has to run alone on its engine.
+    convicted : bool
+        True if it is known to crash engines and must not run.
+    overflows : bool
+        True if the entry was full of protected work when it arrived.
     """
 
     request_id: str
@@ -47,12 +52,13 @@
     deadline_at_s: float
     n_body_bytes: int
     solo: bool = False
+    convicted: bool = False
+    overflows: bool = False
     settled: asyncio.Future[Binding | NotRun] = field(
         default_factory=lambda: asyncio.get_running_loop().create_future()
     )
     offered: dict[str, str] = field(default_factory=dict)
     excluded: set[str] = field(default_factory=set)
-    floor_requested: bool = False
 
     @property
     def protected(self) -> bool:
@@ -83,12 +89,20 @@
         Bytes of bodies that may be held.
     """
 
-    __slots__ = ("_by_id", "_by_rank", "_max_bytes", "_max_waiting", "n_bytes")
+    __slots__ = (
+        "_by_id",
+        "_by_organisation",
+        "_by_rank",
+        "_max_bytes",
+        "_max_waiting",
+        "n_bytes",
+    )
 
     def __init__(self, max_waiting: int, max_waiting_bytes: int) -> None:
         self._max_waiting = max_waiting
         self._max_bytes = max_waiting_bytes
         self._by_id: dict[str, WaitingRequest] = {}
+        self._by_organisation: Counter[str] = Counter()
         self._by_rank: dict[int, dict[str, WaitingRequest]] = {}
         self.n_bytes = 0
 
@@ -108,11 +122,16 @@
 
     def n_waiting(self, organisation: str) -> int:
         """Count the waiting requests of an organisation."""
-        return sum(r.organisation == organisation for r in self._by_id.values())
+        return self._by_organisation[organisation]
+
+    def lowest_rank(self) -> int | None:
+        """Return the highest rank number that waits; None if nothing does."""
+        return max((rank for rank, held in self._by_rank.items() if held), default=None)
 
     def add(self, request: WaitingRequest) -> None:
         """Hold a request, even over the bounds; see `evict_unprotected`."""
         self._by_id[request.request_id] = request
+        self._by_organisation[request.organisation] += 1
         self._by_rank.setdefault(request.tier_rank, {})[request.request_id] = request
         self.n_bytes += request.n_body_bytes
 
@@ -121,6 +140,9 @@
         if self._by_id.pop(request.request_id, None) is None:
             return
         self._by_rank[request.tier_rank].pop(request.request_id)
+        self._by_organisation[request.organisation] -= 1
+        if not self._by_organisation[request.organisation]:
+            del self._by_organisation[request.organisation]
         self.n_bytes -= request.n_body_bytes
 
     def evict_unprotected(self, reject: NotRun) -> WaitingRequest | None:
--- a/src/pomelothread/outcomes.py
+++ b/src/pomelothread/outcomes.py
@@ -1,5 +1,6 @@
 """The three outcomes that a caller can be told, and their problem details."""
 
+import math
 from dataclasses import dataclass
 from enum import Enum
 
@@ -25,6 +26,7 @@
     MISSING_KEY = ("missing-key", 422, "The service requires an Idempotency-Key")
     KEY_REUSED = ("key-reused", 422, "The key was used with another body")
     KEY_EXPIRED = ("key-expired", 422, "The key is older than the key lifetime")
+    KEY_NOT_DATED = ("key-not-dated", 422, "The service requires a UUIDv7 key")
     CONVICTED = ("convicted", 422, "The request has crashed upstreams")
     ORGANISATION_LIMIT = ("organisation-limit", 429, "The organisation's limit is used")
     OVERLOADED = ("overloaded", 503, "Shed for lack of capacity")
@@ -72,11 +74,14 @@
         One sentence for the caller.
     status_url : str
         Where the outcome of a keyed order can be asked for, or "".
+    retry_after_s : float or None
+        When to ask again, in seconds.
     """
 
     reason: Reason
     detail: str = ""
     status_url: str = ""
+    retry_after_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -157,13 +162,13 @@
         case NotRun(retry_after_s=retry_after_s):
             problem["outcome"] = "not-run"
             headers["x-should-retry"] = "false" if retry_after_s is None else "true"
-            if retry_after_s is not None:
-                headers["Retry-After"] = str(max(1, round(retry_after_s)))
         case NotKnown(status_url=status_url):
             problem["outcome"] = "not-known"
             headers["x-should-retry"] = "false"
             if status_url:
                 problem["status_url"] = status_url
+    if outcome.retry_after_s is not None:
+        headers["Retry-After"] = str(max(1, math.ceil(outcome.retry_after_s)))
     # OpenAI's clients read the message of an error from this member.
     problem["error"] = {"message": outcome.detail or title, "type": kind}
     return ProblemResponse(status, headers, msgspec.json.encode(problem))
--- /dev/null
+++ b/src/pomelothread/peers/dispatch.py
@@ -0,0 +1,124 @@
+"""The HTTP request by which an entry sends a bound request to an agent."""
+
+import hashlib
+from collections.abc import Mapping
+from dataclasses import dataclass
+from urllib.parse import quote, unquote
+
+DISPATCH_PATH = "/dispatch"
+OUTCOME_HEADER = "X-Pomelothread-Outcome"
+REASON_HEADER = "X-Pomelothread-Reason"
+
+# Values of OUTCOME_HEADER. `RUN` carries the upstream's response, the next two
+# carry problem details for the caller. `NOT_DISPATCHED` is for the entry: this
+# POST was not dispatched and never will be.
+RUN = "run"
+NOT_RUN = "not-run"
+NOT_KNOWN = "not-known"
+NOT_DISPATCHED = "not-dispatched"
+
+# Reasons of NOT_DISPATCHED.
+GRANT_INVALID = "grant-invalid"
+MUST_RUN_ALONE = "must-run-alone"
+SHEET_BEHIND = "sheet-behind"
+UPSTREAM_DOWN = "upstream-down"
+
+
+@dataclass(frozen=True, slots=True)
+class Dispatch:
+    """What an agent is told about a request besides its body.
+
+    Parameters
+    ----------
+    request_id : str
+        Unique in the fleet.
+    grant : int
+        Number of the grant.
+    agent_incarnation : str
+        Incarnation that made it.
+    service, organisation : str
+        Names in the sheet.
+    method, path : str
+        For the upstream.
+    content_type : str
+        Of the body.
+    key : str
+        Idempotency key, or "".
+    never_repeated : bool
+        Whether the entry's sheet declares the request as an order.
+    """
+
+    request_id: str
+    grant: int
+    agent_incarnation: str
+    service: str
+    organisation: str
+    method: str
+    path: str
+    content_type: str
+    key: str
+    never_repeated: bool
+
+    def to_headers(self) -> dict[str, str]:
+        """Encode as HTTP headers; names may hold any Unicode text."""
+        return {
+            "X-Request-Id": self.request_id,
+            "X-Grant": str(self.grant),
+            "X-Agent-Incarnation": self.agent_incarnation,
+            "X-Service": quote(self.service),
+            "X-Organisation": quote(self.organisation),
+            "X-Method": self.method,
+            "X-Path": quote(self.path, safe="/?&=%:,;+@!$'()*~"),
+            "X-Key": quote(self.key),
+            "X-Never-Repeated": "1" if self.never_repeated else "0",
+            "Content-Type": self.content_type or "application/octet-stream",
+        }
+
+    @classmethod
+    def from_headers(cls, headers: Mapping[str, str]) -> "Dispatch | None":
+        """Decode from HTTP headers; None if they are malformed."""
+        grant = headers.get("X-Grant", "")
+        request_id = headers.get("X-Request-Id", "")
+        if not grant.isdecimal() or not request_id:
+            return None
+        return cls(
+            request_id=request_id,
+            grant=int(grant),
+            agent_incarnation=headers.get("X-Agent-Incarnation", ""),
+            service=unquote(headers.get("X-Service", "")),
+            organisation=unquote(headers.get("X-Organisation", "")),
+            method=headers.get("X-Method", "POST"),
+            path=headers.get("X-Path", "/"),
+            content_type=headers.get("Content-Type", ""),
+            key=unquote(headers.get("X-Key", "")),
+            never_repeated=headers.get("X-Never-Repeated") == "1",
+        )
+
+
+def body_fingerprint(service: str, path: str, body: bytes) -> str:
+    """Identify a request by its content, for finding those that crash upstreams.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    path : str
+        Path at the upstream.
+    body : bytes
+        As the upstream is sent it.
+
+    Returns
+    -------
+    str
+        32 hexadecimal digits.
+
+    Examples
+    --------
+    >>> len(body_fingerprint("draft", "/v1/chat/completions", b"{}"))
+    32
+    """
+    digest = hashlib.blake2b(digest_size=16)
+    for part in (service.encode(), path.encode(), body):
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.hexdigest()
--- /dev/null
+++ b/src/pomelothread/peers/node.py
@@ -0,0 +1,119 @@
+"""What entries and agents do alike when they start and stop."""
+
+import asyncio
+import logging
+import secrets
+import signal
+import sys
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import msgspec
+import tornado.httpserver
+import tornado.netutil
+import tornado.web
+
+from ..events import Event, log_event
+
+_logger = logging.getLogger(__name__)
+
+# Of the body of a request between our processes; callers' limits are lower.
+MAX_BODY_BYTES = 64 * 1024 * 1024
+
+
+def new_incarnation() -> str:
+    """Return 64 random bits as text, different at each start of a process."""
+    return secrets.token_hex(8)
+
+
+def listen_http(
+    routes: list[Any], address: str
+) -> tuple[tornado.httpserver.HTTPServer, str]:
+    """Start an HTTP server.
+
+    The socket is bound without SO_REUSEPORT, so the kernel admits one process
+    for each address: an agent's port is the mutual exclusion of its slot.
+
+    Parameters
+    ----------
+    routes : list
+        Route specifications for `tornado.web.Application`.
+    address : str
+        ``ip:port``; port 0 lets the kernel choose.
+
+    Returns
+    -------
+    (HTTPServer, str)
+        The server and the address on which it listens.
+    """
+    host, _, port = address.rpartition(":")
+    sockets = tornado.netutil.bind_sockets(int(port), host.strip("[]"))
+    application = tornado.web.Application(routes, log_function=lambda handler: None)
+    server = tornado.httpserver.HTTPServer(
+        application, max_body_size=MAX_BODY_BYTES, xheaders=False
+    )
+    server.add_sockets(sockets)
+    return server, f"{host}:{sockets[0].getsockname()[1]}"
+
+
+def announce(http_address: str, control_address: str) -> None:
+    """Print the addresses as one JSON line, for whoever started the process."""
+    line = {"http_address": http_address, "control_address": control_address}
+    sys.stdout.write(msgspec.json.encode(line).decode() + "\n")
+    sys.stdout.flush()
+
+
+def stop_event() -> asyncio.Event:
+    """Return an event that SIGTERM and SIGINT set."""
+    event = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, event.set)
+    return event
+
+
+class Tasks:
+    """The long-running tasks of a process.
+
+    A task of this kind never ends by itself. If one does, an invariant is
+    broken and the process stops, since it would go on in part only.
+
+    Parameters
+    ----------
+    on_failure : callable
+        Called after a task has ended by itself.
+    """
+
+    __slots__ = ("_on_failure", "_tasks", "failed")
+
+    def __init__(self, on_failure: Callable[[], None]) -> None:
+        self._on_failure = on_failure
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.failed = False
+
+    def start(self, name: str, coroutine: Coroutine[Any, Any, None]) -> None:
+        """Run a coroutine as a task with a name for the log."""
+        task = asyncio.create_task(coroutine, name=name)
+        self._tasks.add(task)
+        task.add_done_callback(self._ended)
+
+    async def cancel(self) -> None:
+        """Cancel all tasks and wait for them."""
+        tasks, self._tasks = self._tasks, set()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        if task not in self._tasks:
+            return
+        self._tasks.discard(task)
+        error = None if task.cancelled() else task.exception()
+        log_event(
+            _logger,
+            Event.INVARIANT_BROKEN,
+            detail=f"task {task.get_name()} ended",
+            exc_info=error,
+        )
+        self.failed = True
+        self._on_failure()
--- a/src/pomelothread/settings.py
+++ b/src/pomelothread/settings.py
@@ -110,6 +110,8 @@
     drain_accept_s : float
         How long requests are still accepted after SIGTERM, since the load
         balancer notices the failing readiness late.
+    log_retention_s : float
+        How long the platform's log keeps a record.
     logging : LoggingSettings
         Table ``[logging]``.
     tracing : TracingSettings
@@ -126,6 +128,7 @@
         1_048_576, 17_179_869_184, default=268_435_456
     )
     drain_accept_s: float = number_field(0, 600, default=5)
+    log_retention_s: float = number_field(60, 31_536_000, default=172_800)
     logging: LoggingSettings
     tracing: TracingSettings
 
