--- a/src/pomelothread/policy/prediction.py
+++ b/src/pomelothread/policy/prediction.py
@@ -43,10 +43,12 @@
         As in `AgentBeat`.
     heard_at_s : float
         Monotonic time at which the heartbeat arrived.
-    n_places, n_free_places, waiting_tokens : int
+    n_places, n_free_places : int
         As in `AgentBeat`.
     waiting_by_rank : dict of int to int
         Offers waiting at the agent, by rank.
+    waiting_tokens : int
+        As in `AgentBeat`.
     token_gap_s, prefill_tokens_per_s, service_time_s : float
         As in `AgentBeat`; 0 if not measured.
     n_offered : int
