--- a/src/pomelothread/callers/requests.py
+++ b/src/pomelothread/callers/requests.py
@@ -330,7 +330,9 @@
         )
         return NotRun(Reason.BODY_TOO_LARGE, detail)
     if len(key) > MAX_KEY_LENGTH or not key.isprintable():
-        detail = f"Idempotency-Key must be at most {MAX_KEY_LENGTH} printable characters."
+        detail = (
+            f"Idempotency-Key must be at most {MAX_KEY_LENGTH} printable characters."
+        )
         return NotRun(Reason.MALFORMED_BODY, detail)
     if service.repeat == REPEAT_NEVER and not key:
         detail = (
