--- /dev/null
+++ b/src/pomelothread/operators/publishing.py
@@ -0,0 +1,310 @@
+"""Publishing a sheet: append it to the log, read back, and say who won."""
+
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from ..clock import Clock
+from ..log.records import LogClient, LogFailure, LogFault
+from .changes import IgnoredRecord, SheetChange
+from .deltas import make_delta, with_digest
+from .publications import (
+    TOPIC,
+    SheetRecord,
+    encode_record,
+    make_carry_forward,
+    make_publication,
+)
+from .replication import SheetReplica
+from .sheet import Sheet
+
+RETRY_S = 0.25
+
+
+@dataclass(frozen=True, slots=True)
+class Published:
+    """The sheet is in force from `offset` on.
+
+    `superseded_by` is a later version that was already read, or 0.
+    """
+
+    version: int
+    digest: str
+    offset: int
+    n_changes: int
+    superseded_by: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class NothingToPublish:
+    """The sheet in force has the same rows."""
+
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class WrongBase:
+    """The sheet was made from another version than the one in force."""
+
+    base: int
+    in_force: int
+
+
+@dataclass(frozen=True, slots=True)
+class LostRace:
+    """Another publication replaced the base first."""
+
+    version: int
+    winner: str
+    offset: int
+
+
+@dataclass(frozen=True, slots=True)
+class NotPublished:
+    """Nothing took effect, and nothing will."""
+
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class ResultNotKnown:
+    """The append may have taken effect, or may do so later."""
+
+    publication: str
+    detail: str
+
+
+PublishOutcome = (
+    Published | NothingToPublish | WrongBase | LostRace | NotPublished | ResultNotKnown
+)
+
+
+@dataclass(frozen=True, slots=True)
+class PublishOrder:
+    """What to publish.
+
+    Parameters
+    ----------
+    sheet : Sheet
+        The rows.
+    base : int
+        The version that the rows were made from; 0 for the first sheet.
+    operator : str
+        Who publishes.
+    publication : str
+        Random identifier of this publication.
+    wait_s : float
+        How long to read back for a result, in seconds.
+    restart : bool
+        Publish although the log no longer holds the sheet in force.
+    """
+
+    sheet: Sheet
+    base: int
+    operator: str
+    publication: str
+    wait_s: float
+    restart: bool = False
+
+
+@dataclass(slots=True)
+class TopicReader:
+    """Reads the topic into a replica and remembers what happened to it.
+
+    Parameters
+    ----------
+    log : LogClient
+        The log.
+    replica : SheetReplica
+        Folds the records.
+    changes : list of SheetChange
+        All versions that came into force.
+    ignored : list of IgnoredRecord
+        All records that were not used.
+    parts : set of (str, int)
+        Publication and number of each part read.
+    """
+
+    log: LogClient
+    replica: SheetReplica = field(init=False)
+    changes: list[SheetChange] = field(default_factory=list)
+    ignored: list[IgnoredRecord] = field(default_factory=list)
+    parts: set[tuple[str, int]] = field(default_factory=set)
+
+    def __post_init__(self) -> None:
+        self.replica = SheetReplica(self.ignored.append)
+
+    async def read_to_end(self) -> Result[None, LogFailure]:
+        """Read until the log has no further record."""
+        while True:
+            match await self.log.read(TOPIC, self.replica.next_offset, 0.0):
+                case Failure(failure):
+                    return Failure(failure)
+                case Success(batch):
+                    pass
+            for record in batch.records:
+                match record.value:
+                    case {"publication": str(publication), "part": int(part)}:
+                        self.parts.add((publication, part))
+            self.changes += self.replica.apply_batch(batch)
+            if not batch.records and not batch.n_expired:
+                return Success(None)
+
+
+async def publish_sheet(
+    log: LogClient, clock: Clock, order: PublishOrder
+) -> PublishOutcome:
+    """Publish a sheet.
+
+    Parameters
+    ----------
+    log : LogClient
+        The log.
+    clock : Clock
+        Source of time.
+    order : PublishOrder
+        What to publish.
+
+    Returns
+    -------
+    PublishOutcome
+        What is certain about the publication. An append is repeated only if
+        the log refused it; after a lost answer the topic is read for the
+        publication's identifier.
+    """
+    reader = TopicReader(log)
+    match await reader.read_to_end():
+        case Failure(failure):
+            return NotPublished(f"the log cannot be read: {failure.detail}")
+    prepared = _prepare(reader.replica, clock, order)
+    if not isinstance(prepared, SheetRecord):
+        return prepared
+    values = encode_record(prepared)
+    deadline_s = clock.monotonic_s() + order.wait_s
+    for part, value in enumerate(values, 1):
+        match await _append(log, clock, value, deadline_s):
+            case Failure(LogFailure(LogFault.REFUSED, detail)):
+                return NotPublished(f"the log refused the record: {detail}")
+            case Failure(LogFailure(LogFault.UNANSWERED, detail)) if part < len(values):
+                await _await_part(reader, clock, order, part, deadline_s)
+                if (order.publication, part) in reader.parts:
+                    continue
+                # The parts after this one are not appended, so the record
+                # stays incomplete even if this part arrives later.
+                outcome = _judge(reader, order, prepared)
+                if isinstance(outcome, LostRace):
+                    return outcome
+                return NotPublished(f"the record is incomplete: {detail}")
+    await _await_part(reader, clock, order, len(values), deadline_s)
+    return _judge(reader, order, prepared)
+
+
+async def _append(
+    log: LogClient, clock: Clock, value: dict[str, Any], deadline_s: float
+) -> Result[int, LogFailure]:
+    """Append, again only if the log certainly did not take the record."""
+    while True:
+        answer = await log.append(TOPIC, value)
+        match answer:
+            case Failure(LogFailure(LogFault.REFUSED)):
+                if clock.monotonic_s() >= deadline_s:
+                    return answer
+            case _:
+                return answer
+        await clock.sleep(RETRY_S)
+
+
+def _prepare(
+    replica: SheetReplica, clock: Clock, order: PublishOrder
+) -> SheetRecord | PublishOutcome:
+    if replica.is_blocked:
+        return NotPublished(
+            "the log holds sheets of a newer format; use newer software"
+        )
+    in_force = replica.sheet
+    new = with_digest(order.sheet).sheet
+    if in_force.version and new.digest == in_force.digest:
+        return NothingToPublish(in_force.version)
+    if order.base != in_force.version:
+        return WrongBase(order.base, in_force.version)
+    if order.restart:
+        return _prepare_restart(replica, clock, order, new)
+    if not replica.is_anchored:
+        return NotPublished(
+            "the log has deleted the records of the sheet in force; a running "
+            "process appends them again. If none is running, publish with --restart"
+        )
+    delta = make_delta(in_force, new)
+    return make_publication(
+        in_force,
+        delta,
+        new.digest,
+        publication=order.publication,
+        operator=order.operator,
+        written_at=clock.now(),
+        as_of=replica.next_offset,
+    )
+
+
+def _prepare_restart(
+    replica: SheetReplica, clock: Clock, order: PublishOrder, new: Sheet
+) -> SheetRecord | PublishOutcome:
+    if replica.is_anchored:
+        return NotPublished(
+            "the log holds the sheet in force; publish without --restart"
+        )
+    # Each version took at least one record, so this is above all of them.
+    version = replica.next_offset + 1
+    return make_carry_forward(
+        msgspec.structs.replace(new, version=version),
+        publication=order.publication,
+        operator=order.operator,
+        written_at=clock.now(),
+        as_of=replica.next_offset,
+    )
+
+
+async def _await_part(
+    reader: TopicReader,
+    clock: Clock,
+    order: PublishOrder,
+    part: int,
+    deadline_s: float,
+) -> None:
+    """Read until the part is found or its fate no longer matters."""
+    while True:
+        answer = await reader.read_to_end()
+        if (order.publication, part) in reader.parts:
+            return
+        was_read = isinstance(answer, Success)
+        if was_read and reader.replica.sheet.version > order.base:
+            return
+        if clock.monotonic_s() >= deadline_s:
+            return
+        await clock.sleep(RETRY_S)
+
+
+def _judge(
+    reader: TopicReader, order: PublishOrder, record: SheetRecord
+) -> PublishOutcome:
+    for change in reader.changes:
+        if change.publication == order.publication:
+            latest = reader.replica.sheet.version
+            return Published(
+                record.version,
+                record.digest,
+                change.offset,
+                record.delta().n_changes(),
+                latest if latest > record.version else 0,
+            )
+    for change in reader.changes:
+        if change.previous.version == order.base:
+            return LostRace(change.sheet.version, change.operator, change.offset)
+    for ignored in reader.ignored:
+        if ignored.publication == order.publication:
+            return NotPublished(f"the record was not accepted: {ignored.detail}")
+    return ResultNotKnown(
+        order.publication, f"the record was not found within {order.wait_s:g} s"
+    )
