--- a/src/pomelothread/agent/http.py
+++ b/src/pomelothread/agent/http.py
@@ -68,8 +68,8 @@
             case NotRun(reason=reason) | NotKnown(reason=reason):
                 name = NOT_RUN if isinstance(outcome, NotRun) else NOT_KNOWN
                 problem = problem_response(outcome)
-                headers = list(problem.headers.items())
-                self.start(name, reason.value[0], problem.status, headers)
+                pairs = list(problem.headers.items())
+                self.start(name, reason.value[0], problem.status, pairs)
                 self.finish(problem.body)
 
 
--- a/src/pomelothread/agent/orders.py
+++ b/src/pomelothread/agent/orders.py
@@ -256,7 +256,7 @@
     async def _look_up(self, dispatch: Dispatch, service: Service) -> Run | None:
         if not service.lookup_path:
             return None
-        path = service.lookup_path.rstrip("/") + "/" + quote(dispatch.key, safe="")
+        path = service.lookup_path.replace("{key}", quote(dispatch.key, safe=""))
         exchange = self._client.open_exchange(
             "GET", self._url + path, {}, total_timeout_s=LOOKUP_TIMEOUT_S
         )
--- a/src/pomelothread/entry/attempt.py
+++ b/src/pomelothread/entry/attempt.py
@@ -19,14 +19,17 @@
 from ..peers.headers import end_to_end_headers
 from ..peers.http_exchange import (
     Cancelled,
-    Complete as ExchangeComplete,
     End,
     Exchange,
     ExchangeClient,
     NotConnected,
     ResponseHead,
 )
+from ..peers.http_exchange import (
+    Complete as ExchangeComplete,
+)
 from ..peers.messages import Grant, Revoke, Revoked
+from ..peers.waiting import wait_at_most
 from ..policy.retries import (
     AttemptEnd,
     Complete,
@@ -131,9 +134,7 @@
         self._clock = clock
         self._revokes: dict[tuple[str, int], asyncio.Future[bool]] = {}
 
-    async def run(
-        self, attempt: Attempt, sink: ResponseSink, span: Span
-    ) -> AttemptEnd:
+    async def run(self, attempt: Attempt, sink: ResponseSink, span: Span) -> AttemptEnd:
         """Send the request and relay what comes back.
 
         Parameters
@@ -233,12 +234,10 @@
             self._incarnation, attempt.request_id, grant.grant, grant.incarnation
         )
         self._channel.send(attempt.agent.beat.inbox, message)
-        timer = asyncio.ensure_future(self._clock.sleep(REVOKE_WAIT_S))
         try:
-            await asyncio.wait({future, timer}, return_when=asyncio.FIRST_COMPLETED)
-            return future.result() if future.done() else None
+            answered = await wait_at_most(future, self._clock, REVOKE_WAIT_S)
+            return future.result() if answered else None
         finally:
-            timer.cancel()
             del self._revokes[grant.incarnation, grant.grant]
 
     async def _watch(self, attempt: Attempt) -> None:
--- a/src/pomelothread/entry/floors.py
+++ b/src/pomelothread/entry/floors.py
@@ -1,5 +1,7 @@
 """Floors that precede the shedding of protected work."""
 
+import itertools
+
 from ..clock import Clock
 from ..peers.control import ControlChannel
 from ..peers.messages import FloorRaised, RaiseFloor
@@ -26,7 +28,15 @@
         Source of monotonic time.
     """
 
-    __slots__ = ("_agents", "_channel", "_clock", "_incarnation", "_sheds", "n_raised")
+    __slots__ = (
+        "_agents",
+        "_channel",
+        "_clock",
+        "_incarnation",
+        "_numbers",
+        "_sheds",
+        "n_raised",
+    )
 
     def __init__(
         self,
@@ -39,6 +49,7 @@
         self._channel = channel
         self._agents = agents
         self._clock = clock
+        self._numbers = itertools.count(1)
         self._sheds: dict[tuple[str, int], ProtectedShed] = {}
         self.n_raised = 0
 
@@ -73,7 +84,7 @@
         shed = self._sheds.get(key)
         if shed is None:
             self.n_raised += 1
-            shed = ProtectedShed(pool, tier_rank, self.n_raised, alive)
+            shed = ProtectedShed(pool, tier_rank, alive, self._numbers)
             self._sheds[key] = shed
             return shed
         for agent in alive:
@@ -85,9 +96,9 @@
 
     def _ask(self, pool: str, tier_rank: int) -> None:
         shed = self._shed(pool, tier_rank)
-        for incarnation in shed.to_ask(self._clock.monotonic_s()):
+        for incarnation, number in shed.to_ask(self._clock.monotonic_s()):
             known = self._agents.get(incarnation)
             if known is None:
                 continue
-            message = RaiseFloor(self._incarnation, pool, tier_rank, shed.floor_number)
+            message = RaiseFloor(self._incarnation, pool, tier_rank, number)
             self._channel.send(known.beat.inbox, message)
--- a/src/pomelothread/entry/scheduler.py
+++ b/src/pomelothread/entry/scheduler.py
@@ -6,6 +6,7 @@
 import random
 from collections.abc import Mapping
 from dataclasses import dataclass
+from typing import Any
 
 from opentelemetry.trace import Span, SpanKind, Tracer, set_span_in_context
 
@@ -15,6 +16,7 @@
 from ..operators.sheet import Organisation, Sheet
 from ..outcomes import NotKnown, NotRun, Reason, Run
 from ..peers.dispatch import MUST_RUN_ALONE, body_fingerprint
+from ..peers.waiting import wait_at_most
 from ..policy.crashes import CrashBook
 from ..policy.retries import (
     BindAgain,
@@ -401,9 +403,8 @@
             raising = asyncio.ensure_future(
                 self._floors.raise_floor(waiting.pool, waiting.tier_rank)
             )
-            await asyncio.wait(
-                {waiting.settled, raising}, return_when=asyncio.FIRST_COMPLETED
-            )
+            both: set[asyncio.Future[Any]] = {waiting.settled, raising}
+            await asyncio.wait(both, return_when=asyncio.FIRST_COMPLETED)
             raising.cancel()
             self._shed_below(waiting)
             if waiting.overflows and not self._waiting.is_over():
@@ -426,13 +427,7 @@
 
     async def _wait_until(self, waiting: WaitingRequest, at_s: float) -> None:
         delay_s = at_s - self._clock.monotonic_s()
-        if delay_s <= 0 or waiting.settled.done():
-            return
-        timer = asyncio.ensure_future(self._clock.sleep(delay_s))
-        await asyncio.wait(
-            {waiting.settled, timer}, return_when=asyncio.FIRST_COMPLETED
-        )
-        timer.cancel()
+        await wait_at_most(waiting.settled, self._clock, delay_s)
 
     def _not_known(self, request: CallerRequest, reason: Reason) -> NotKnown:
         url = ""
