--- /dev/null
+++ b/tests/test_demo.py
@@ -0,0 +1,100 @@
+"""The demo fails when callers were told something else than what happened."""
+
+import json
+from collections import Counter
+
+import pytest
+
+from callers import NOT_KNOWN, NOT_RUN, RUN, UNTOLD, Answer
+from demo import answer_faults, dispatch_faults, executed_orders, order_faults
+from demo_plans import PLANS
+from deployments import DEPLOYMENTS
+from pomelothread.operators.planning import parse_sheet
+from pomelothread.settings import TracingSettings
+from pomelothread.tracing import extract_context, inject_context, setup_tracing
+from spans import format_trace, read_trace
+
+
+@pytest.fixture
+def sheet():
+    return parse_sheet(DEPLOYMENTS["ashcombe"].sheet.read_bytes()).unwrap()
+
+
+@pytest.mark.parametrize(
+    ("service", "outcome", "n_faults"),
+    [
+        ("stock-check", RUN, 0),
+        ("stock-check", NOT_RUN, 1),
+        ("cleft-report", NOT_RUN, 0),
+        ("cleft-report", NOT_KNOWN, 1),
+        ("cleft-report", UNTOLD, 1),
+    ],
+)
+def test_a_lost_check_and_an_unknown_outcome_are_faults(
+    sheet, service, outcome, n_faults
+):
+    faults = list(answer_faults(sheet, [Answer(service, outcome, 0.1)]))
+    assert len(faults) == n_faults
+
+
+@pytest.mark.parametrize(
+    ("executed", "told", "part"),
+    [
+        ({"k": 1}, [RUN], ""),
+        ({"k": 1}, [RUN, RUN, NOT_RUN], ""),
+        ({}, [NOT_RUN], ""),
+        ({"k": 2}, [RUN], "executed 2 times"),
+        ({"k": 2}, [], "executed 2 times"),
+        ({}, [RUN], "but it did not"),
+        ({"k": 1}, [NOT_RUN], "but it did"),
+    ],
+)
+def test_an_order_that_ran_otherwise_than_told_is_a_fault(executed, told, part):
+    answers = [Answer("bulk-order", outcome, 0.1, key="k") for outcome in told]
+    faults = list(order_faults(Counter(executed), answers))
+    assert len(faults) == bool(part)
+    assert all(part in fault for fault in faults)
+
+
+def test_a_request_that_reached_two_upstreams_is_a_fault():
+    states = [{"received": {"a": 1, "b": 1, "": 5}}, {"received": {"b": 1}}]
+    (fault,) = dispatch_faults(states)
+    assert "request b" in fault
+
+
+def test_orders_are_counted_over_all_upstreams():
+    states = [{"effects": {"k": 1}}, {"effects": {"k": 1}}, {"received": {}}]
+    assert executed_orders(states) == {"k": 2}
+
+
+@pytest.mark.parametrize("name", PLANS)
+def test_a_plan_names_services_and_organisations_of_its_sheet(name):
+    sheet = parse_sheet(DEPLOYMENTS[name].sheet.read_bytes()).unwrap()
+    for calls in PLANS[name]:
+        service = sheet.services[calls.service]
+        assert calls.organisation in sheet.organisations
+        assert (calls.n_tokens > 0) == (service.kind == "model")
+        assert calls.is_order == (service.repeat == "never")
+        assert calls.n_tokens <= service.max_output_tokens
+
+
+def test_a_trace_is_read_from_all_files_and_shown_as_a_tree(tmp_path):
+    headers = {}
+    parent = None
+    for name in ("entry", "agent"):
+        path = str(tmp_path / f"{name}.jsonl")
+        settings = TracingSettings(sample_ratio=1, span_file=path)
+        tracer = setup_tracing(settings, f"pomelothread-{name}", f"{name}-1")
+        span = tracer.start_span(f"{name} hop", context=extract_context(headers))
+        inject_context(span, headers)
+        parent = parent or span
+    for ended in (span, parent):
+        ended.end()
+    line = (tmp_path / "entry.jsonl").read_text().splitlines()[0]
+    trace_id = json.loads(line)["context"]["trace_id"].removeprefix("0x")
+    spans = read_trace(tmp_path.glob("*.jsonl"), trace_id)
+    assert [span.instance for span in spans] == ["entry-1", "agent-1"]
+    head, first, second = format_trace(spans).splitlines()
+    assert "duration" in head
+    assert "  entry hop" in first
+    assert "    agent hop" in second
--- /dev/null
+++ b/tools/demo.py
@@ -0,0 +1,275 @@
+"""Runs a deployment under a burst and checks what its callers were told.
+
+``python -m demo --deployment=saurashtra`` exits with 0 if every check passes.
+"""
+
+import asyncio
+import secrets
+import statistics
+import sys
+import time
+from collections import Counter
+from collections.abc import Iterable, Sequence
+from typing import Any
+
+import msgspec
+import psutil
+from absl import app, flags
+from tornado.httpclient import AsyncHTTPClient
+
+from callers import NOT_KNOWN, RUN, UNTOLD, Answer, Callers, burst, count_outcomes
+from demo_plans import PLANS, Calls
+from deployments import DEPLOYMENTS, Deployment
+from launch_settings import LaunchOptions
+from launcher import Launcher
+from pomelothread.operators.planning import parse_sheet
+from pomelothread.operators.sheet import Sheet
+from spans import format_trace, read_trace
+
+LIMIT_S = 120.0
+
+
+def print_results(sheet: Sheet, answers: list[Answer]) -> None:
+    """Print outcomes and times by tier and service.
+
+    Parameters
+    ----------
+    sheet : Sheet
+        Tiers and deadlines.
+    answers : list of Answer
+        What the callers were told.
+    """
+    head = f"{'tier':10} {'service':18} {'sent':>5} {'run':>5} {'not run':>8}"
+    print(f"{head} {'not known':>10} {'in time':>8} {'p50 s':>7} {'max s':>7}")
+    for tier in sorted(sheet.tiers.values(), key=lambda tier: tier.rank):
+        for service in sheet.services.values():
+            own = [a for a in answers if a.service == service.name]
+            if service.tier != tier.name or not own:
+                continue
+            counts = count_outcomes(own)
+            n_in_time = sum(
+                a.outcome == RUN and a.duration_s <= service.deadline_s for a in own
+            )
+            times_s = [a.duration_s for a in own if a.outcome == RUN] or [float("nan")]
+            print(
+                f"{tier.name:10} {service.name:18} {len(own):5} {counts[RUN]:5} "
+                f"{counts['not-run']:8} {counts[NOT_KNOWN] + counts[UNTOLD]:10} "
+                f"{n_in_time / len(own):8.1%} {statistics.median(times_s):7.2f} "
+                f"{max(times_s):7.2f}"
+            )
+
+
+def answer_faults(sheet: Sheet, answers: list[Answer]) -> Iterable[str]:
+    """Yield what callers must not have been told.
+
+    Parameters
+    ----------
+    sheet : Sheet
+        Tiers and deadlines.
+    answers : list of Answer
+        What the callers were told.
+    """
+    for answer in answers:
+        tier = sheet.tiers[sheet.services[answer.service].tier]
+        if answer.outcome in {UNTOLD, NOT_KNOWN}:
+            yield f"{answer.service}: {answer.outcome} without a fault: {answer.detail}"
+        elif tier.protected and answer.outcome != RUN:
+            yield f"{answer.service}: lost although protected: {answer.detail}"
+
+
+def order_faults(executed: Counter[str], answers: list[Answer]) -> Iterable[str]:
+    """Yield orders whose execution differs from what their callers were told.
+
+    Parameters
+    ----------
+    executed : Counter of str
+        How often each key was executed by all upstreams.
+    answers : list of Answer
+        What the callers were told.
+    """
+    for key, n_executed in executed.items():
+        if n_executed > 1:
+            yield f"order {key}: executed {n_executed} times"
+    told_run = {a.key for a in answers if a.key and a.outcome == RUN}
+    for key in sorted(told_run - set(executed)):
+        yield f"order {key}: its caller was told that it ran, but it did not"
+    # Of two requests with one key, one may be refused while the other runs.
+    told_not_run = {a.key for a in answers if a.key and a.outcome == "not-run"}
+    for key in sorted(told_not_run - told_run):
+        if executed[key]:
+            yield f"order {key}: its caller was told that it did not run, but it did"
+
+
+def dispatch_faults(states: Iterable[dict[str, Any]]) -> Iterable[str]:
+    """Yield requests that reached the upstreams more than once.
+
+    Parameters
+    ----------
+    states : iterable of dict
+        What each upstream counted.
+    """
+    received: Counter[str] = Counter()
+    for state in states:
+        received.update(state["received"])
+    for request_id, n_received in received.items():
+        if request_id and n_received > 1:
+            yield f"request {request_id}: dispatched {n_received} times"
+
+
+def executed_orders(states: Iterable[dict[str, Any]]) -> Counter[str]:
+    """Return how often each key was executed, over all plain upstreams.
+
+    Parameters
+    ----------
+    states : iterable of dict
+        What each upstream counted.
+    """
+    executed: Counter[str] = Counter()
+    for state in states:
+        executed.update(state.get("effects", {}))
+    return executed
+
+
+async def _state(launcher: Launcher, instance: str) -> Any:
+    url = f"http://{launcher.upstream_address(instance)}/_state"
+    response = await AsyncHTTPClient().fetch(url)
+    return msgspec.json.decode(response.body)
+
+
+async def send_order_twice(callers: Callers, calls: Calls) -> tuple[list[Answer], str]:
+    """Send one order to two entries at once, then ask for it.
+
+    Parameters
+    ----------
+    callers : Callers
+        Who sends it.
+    calls : Calls
+        The kind of order.
+
+    Returns
+    -------
+    tuple of (list of Answer, str)
+        Both answers, then that of a third request after them; and a fault or "".
+    """
+    key = f"twice-{secrets.token_hex(4)}"
+    both = await asyncio.gather(
+        *(callers.send_plain(calls, number, key) for number in (0, 1))
+    )
+    third = await callers.send_plain(calls, 0, key)
+    status, text = await callers.order_status(calls.service, calls.organisation, key)
+    for answer in (*both, third):
+        what = "replayed" if answer.is_replayed else answer.detail
+        print(f"  {answer.outcome} {what}")
+    print(f"  GET /v1/orders/{calls.service}/{key}: {status}")
+    runs = [a for a in (*both, third) if a.outcome == RUN]
+    if third.outcome != RUN or len({a.body for a in runs}) != 1:
+        return [*both, third], f"order {key}: its callers got different responses"
+    if status != 200:
+        return [*both, third], f"order {key}: cannot be found: {status} {text[:80]}"
+    return [*both, third], ""
+
+
+async def show_trace(
+    launcher: Launcher, callers: Callers, calls: Calls
+) -> tuple[Answer, str]:
+    """Send one request with a trace context and print all spans of its trace."""
+    trace_id = secrets.token_hex(16)
+    answer = await callers.send(
+        calls, calls.n_calls, f"00-{trace_id}-{secrets.token_hex(8)}-01"
+    )
+    # An agent ends its span after the entry has the last byte.
+    roles: set[str] = set()
+    spans = []
+    for _ in range(100):
+        spans = read_trace(launcher.span_paths, trace_id)
+        roles = {span.service for span in spans}
+        if len(roles) > 1:
+            break
+        await asyncio.sleep(0.02)
+    print(format_trace(spans))
+    fault = "" if len(roles) > 1 else f"trace {trace_id}: spans of {sorted(roles)} only"
+    return answer, fault
+
+
+async def run(deployment: Deployment) -> list[str]:
+    """Run the demo and return what was wrong.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        What to start.
+    """
+    sheet = parse_sheet(deployment.sheet.read_bytes()).unwrap()
+    plan = PLANS[deployment.name]
+    options = LaunchOptions(sample_ratio=0.05)
+    faults: list[str] = []
+    started_s = time.monotonic()
+    async with Launcher(deployment, options) as launcher:
+        print(
+            f"{deployment.name}: {len(deployment.entries)} entries, "
+            f"{len(deployment.upstreams)} upstreams with an agent each, ready after "
+            f"{time.monotonic() - started_s:.1f} s"
+        )
+        callers = Callers(launcher.entry_urls)
+        try:
+            faults += await _exercise(launcher, callers, sheet, plan)
+        finally:
+            await callers.close()
+        started_s = time.monotonic()
+        statuses = await launcher.stop_nodes()
+        print(f"\nall nodes stopped in {time.monotonic() - started_s:.1f} s")
+        faults += [f"{name}: exit {n}" for name, n in statuses.items() if n != 0]
+    if launcher.directory.exists():
+        faults.append(f"{launcher.directory} was left behind")
+    faults += [f"{child} was left behind" for child in psutil.Process().children()]
+    return faults
+
+
+async def _exercise(
+    launcher: Launcher, callers: Callers, sheet: Sheet, plan: tuple[Calls, ...]
+) -> list[str]:
+    n_requests = sum(calls.n_calls for calls in plan)
+    print(f"\nBurst of {n_requests} requests at once:")
+    answers = await burst(callers, plan)
+    print_results(sheet, answers)
+    faults = list(answer_faults(sheet, answers))
+
+    order = next(calls for calls in plan if calls.is_order)
+    print("\nOne order sent to two entries at once, then once more:")
+    twice, fault = await send_order_twice(callers, order)
+    faults += [fault] if fault else []
+    states = [
+        await _state(launcher, plan.instance) for plan in launcher.deployment.upstreams
+    ]
+    faults += order_faults(executed_orders(states), answers + twice)
+    faults += dispatch_faults(states)
+
+    chat = next(calls for calls in plan if calls.is_streamed)
+    print(f"\nTrace of one request for {chat.service}:")
+    answer, fault = await show_trace(launcher, callers, chat)
+    faults += [fault] if fault else []
+    return faults + list(answer_faults(sheet, [answer]))
+
+
+async def _run_within_limit(deployment: Deployment) -> list[str]:
+    try:
+        async with asyncio.timeout(LIMIT_S):
+            return await run(deployment)
+    except TimeoutError:
+        return [f"the demo did not end within {LIMIT_S:g} s"]
+
+
+def main(argv: Sequence[str]) -> int:
+    """Run the demo; return 1 if a check failed."""
+    if len(argv) > 1:
+        raise app.UsageError(f"unexpected arguments {argv[1:]}")
+    faults = asyncio.run(_run_within_limit(DEPLOYMENTS[flags.FLAGS.deployment]))
+    for fault in faults:
+        print(f"FAULT: {fault}", file=sys.stderr)
+    print("all checks passed" if not faults else f"{len(faults)} checks failed")
+    return 1 if faults else 0
+
+
+if __name__ == "__main__":
+    flags.DEFINE_enum("deployment", "saurashtra", sorted(PLANS), "what to start")
+    app.run(main)
--- a/tools/launcher.py
+++ b/tools/launcher.py
@@ -194,7 +194,7 @@
             )
         )
 
-    async def publish_sheet(self, path: Path) -> str:
+    async def publish_sheet(self, path: Path, base: int = 0) -> str:
         """Publish a sheet with the operators' command and return its output."""
         process = await asyncio.create_subprocess_exec(
             sys.executable,
@@ -202,7 +202,8 @@
             "pomelothread.operators.command",
             "publish",
             str(path),
-            f"--log_address={self.log_address}",
+            f"--log={self.log_address}",
+            f"--base={base}",
             "--operator=launcher",
             stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.STDOUT,
