--- a/src/pomelothread/entry/attempt.py
+++ b/src/pomelothread/entry/attempt.py
@@ -131,9 +131,7 @@
         self._clock = clock
         self._revokes: dict[tuple[str, int], asyncio.Future[bool]] = {}
 
-    async def run(
-        self, attempt: Attempt, sink: ResponseSink, span: Span
-    ) -> AttemptEnd:
+    async def run(self, attempt: Attempt, sink: ResponseSink, span: Span) -> AttemptEnd:
         """Send the request and relay what comes back.
 
         Parameters
