--- a/src/pomelothread/entry/attempt.py
+++ b/src/pomelothread/entry/attempt.py
@@ -19,13 +19,15 @@
 from ..peers.headers import end_to_end_headers
 from ..peers.http_exchange import (
     Cancelled,
-    Complete as ExchangeComplete,
     End,
     Exchange,
     ExchangeClient,
     NotConnected,
     ResponseHead,
 )
+from ..peers.http_exchange import (
+    Complete as ExchangeComplete,
+)
 from ..peers.messages import Grant, Revoke, Revoked
 from ..policy.retries import (
     AttemptEnd,
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,5 +1,7 @@
 """Settings are read whole, and every fault is reported at once."""
 
+import dataclasses
+import re
 from pathlib import Path
 
 import pytest
@@ -7,6 +9,8 @@
 
 from pomelothread.addresses import parse_address
 from pomelothread.settings import (
+    AgentSettings,
+    EntrySettings,
     load_agent_settings,
     load_entry_settings,
     settings_or_exit,
@@ -152,3 +156,27 @@
         load_agent_settings if path.name.startswith("agent") else load_entry_settings
     )
     assert isinstance(load_settings(path), Success)
+
+
+def setting_keys(cls, prefix=""):
+    for field in dataclasses.fields(cls):
+        if dataclasses.is_dataclass(field.type):
+            yield from setting_keys(field.type, f"{prefix}{field.name}.")
+        else:
+            yield prefix + field.name
+
+
+@pytest.mark.parametrize(
+    ("page", "cls"), [("entry", EntrySettings), ("agent", AgentSettings)]
+)
+def test_the_manual_page_lists_exactly_the_keys(page, cls):
+    path = Path(__file__).parent.parent / f"docs/man/pomelothread-{page}.md"
+    settings = path.read_text(encoding="utf-8").split("## Settings")[1]
+    rows = re.findall(r"^\| (`[^|]+) \|", settings.split("\n## ")[0], re.MULTILINE)
+    documented = {key for row in rows for key in re.findall(r"`([^`]+)`", row)}
+    keys = set(setting_keys(cls))
+    for table in ("logging", "tracing"):
+        if f"{table}.*" in documented:
+            documented -= {f"{table}.*"}
+            keys = {key for key in keys if not key.startswith(f"{table}.")}
+    assert documented == keys
