--- a/tests/test_tracing.py
+++ b/tests/test_tracing.py
@@ -1,9 +1,12 @@
 """Spans of all hops join one trace, and tracing that is off costs nothing."""
 
+import gzip
+import http.server
 import json
 import os
 import subprocess
 import sys
+import threading
 from pathlib import Path
 
 import pytest
@@ -17,6 +20,15 @@
 UNSAMPLED = SAMPLED[:-2] + "00"
 
 
+def run_python(code):
+    return subprocess.run(
+        [sys.executable, "-c", code],
+        env=os.environ | {"PYTHONPATH": str(SRC)},
+        check=False,
+        capture_output=True,
+    )
+
+
 def test_without_a_destination_the_sdk_is_not_imported():
     # The SDK and the exporter take 6 MiB, a fifth of a node's memory for control.
     code = (
@@ -26,13 +38,43 @@
         "sys.exit(any(m.startswith(('opentelemetry.sdk', 'opentelemetry.exporter')) "
         "for m in sys.modules))"
     )
-    done = subprocess.run(
-        [sys.executable, "-c", code],
-        env=os.environ | {"PYTHONPATH": str(SRC)},
-        check=False,
-        capture_output=True,
-    )
+    done = run_python(code)
+    assert (done.returncode, done.stderr) == (0, b"")
+
+
+def test_spans_reach_a_collector_at_the_exit_of_the_process_at_the_latest():
+    received = []
+
+    class Collector(http.server.BaseHTTPRequestHandler):
+        def do_POST(self):
+            length = int(self.headers["Content-Length"])
+            received.append((self.path, self.rfile.read(length)))
+            self.send_response(200)
+            self.end_headers()
+
+        def log_message(self, *arguments):
+            pass
+
+    server = http.server.HTTPServer(("127.0.0.1", 0), Collector)
+    thread = threading.Thread(target=server.serve_forever)
+    thread.start()
+    try:
+        done = run_python(
+            "from pomelothread.settings import TracingSettings as T\n"
+            "from pomelothread.tracing import setup_tracing\n"
+            f"url = 'http://127.0.0.1:{server.server_port}/v1/traces'\n"
+            "tracer = setup_tracing(T(url, 1.0), 'entry', 'e1')\n"
+            "tracer.start_span('the hop').end()\n"
+        )
+    finally:
+        server.shutdown()
+        thread.join()
+        server.server_close()
     assert (done.returncode, done.stderr) == (0, b"")
+    ((path, body),) = received
+    assert path == "/v1/traces"
+    # Names are plain text inside the protocol buffer, which may be compressed.
+    assert b"the hop" in (gzip.decompress(body) if body[:2] == b"\x1f\x8b" else body)
 
 
 @pytest.mark.parametrize("name", ["traceparent", "Traceparent", "TRACEPARENT"])
