--- a/src/pomelothread/agent/upstream_health.py
+++ b/src/pomelothread/agent/upstream_health.py
@@ -13,6 +13,7 @@
 PERIOD_S = 0.5
 TIMEOUT_S = 0.5
 N_FAILURES_DOWN = 2
+MAX_ANSWER_BYTES = 65_536
 
 
 class UpstreamHealth:
@@ -61,14 +62,14 @@
         """Whether nothing listens at the upstream's address now."""
         exchange = self._open()
         head = await exchange.head()
-        exchange.cancel()
+        await exchange.read_whole(MAX_ANSWER_BYTES)
         return isinstance(head, NotConnected)
 
     async def _ask(self) -> str:
         """Return a sentence on what is wrong, or "" if all is well."""
         exchange = self._open()
         head = await exchange.head()
-        exchange.cancel()
+        await exchange.read_whole(MAX_ANSWER_BYTES)
         match head:
             case ResponseHead(status=200):
                 return ""
--- a/src/pomelothread/entry/attempt.py
+++ b/src/pomelothread/entry/attempt.py
@@ -197,7 +197,7 @@
     ) -> AttemptEnd:
         assert attempt.exchange is not None
         if head.headers.get(OUTCOME_HEADER) == NOT_DISPATCHED:
-            attempt.exchange.cancel()
+            await attempt.exchange.read_whole(MAX_WHOLE_RESPONSE_BYTES)
             return NotDispatched(head.headers.get(REASON_HEADER, ""))
         headers = end_to_end_headers(head.headers.get_all())
         content_type = head.headers.get("Content-Type", "")
--- a/src/pomelothread/entry/process.py
+++ b/src/pomelothread/entry/process.py
@@ -44,6 +44,10 @@
 ROLE = "entry"
 BEAT_PERIOD_S = 0.5
 DRAIN_POLL_S = 0.05
+# A new entry rejects requests for pools that it has not heard yet, so the load
+# balancer should not send any before the first heartbeats; they take one poll
+# of the instance list and one round trip.
+AGENTS_WAIT_S = 5.0
 STARTING = "starting"
 READY = "ready"
 DRAINING = "draining"
@@ -255,6 +259,7 @@
             for request in self._waiting:
                 if request.pool == beat.pool:
                     self._offers.offer(request)
+            self._update_readiness()
 
     def _use_sheet(self, change: SheetChange) -> None:
         self._scheduler.use_sheet(change.sheet)
@@ -280,16 +285,22 @@
         self._membership.replace(membership)
 
     def _update_readiness(self) -> None:
-        """Become ready once a sheet is in force and its topic was read.
+        """Become ready once a sheet is in force and agents have been heard.
 
-        During an outage of the log, the sheet of a peer stands in.
+        During an outage of the log, the sheet of a peer stands in. A pool
+        without any agent holds the entry back only for `AGENTS_WAIT_S`.
         """
-        if self._state != STARTING or self._replica.sheet.version == 0:
+        sheet = self._replica.sheet
+        if self._state != STARTING or sheet.version == 0:
+            return
+        if not self._sheet_at_end and not self._log_failed:
             return
-        if self._sheet_at_end or self._log_failed:
+        pools = {service.pool for service in sheet.services.values()}
+        waited_s = self._clock.monotonic_s() - self._started_at_s
+        has_agents = all(self._agents.views(pool) for pool in pools)
+        if has_agents or waited_s > AGENTS_WAIT_S:
             self._state = READY
-            version = self._replica.sheet.version
-            log_event(_logger, Event.ENTRY_READY, sheet_version=version)
+            log_event(_logger, Event.ENTRY_READY, sheet_version=sheet.version)
 
     def _peer_addresses(self) -> list[str]:
         return [
--- a/src/pomelothread/log/keys.py
+++ b/src/pomelothread/log/keys.py
@@ -48,7 +48,7 @@
     Examples
     --------
     >>> key_timestamp_ms("0195532b-8800-7000-8000-000000000001")
-    1740895946752
+    1740857116672
     >>> key_timestamp_ms("order-17") is None
     True
     """
--- a/tools/standins/plain_service.py
+++ b/tools/standins/plain_service.py
@@ -129,8 +129,8 @@
     def get(self) -> None:
         """Show the counts."""
         state = self.counts.report()
-        state["runs"] = dict(self.ledger.runs)
-        state["runs_by_body"] = dict(self.ledger.runs_by_body)
+        state["effects"] = dict(self.ledger.runs)
+        state["effects_by_body"] = dict(self.ledger.runs_by_body)
         self.send_json(state)
 
 
