--- a/tools/standins/text.py
+++ b/tools/standins/text.py
@@ -67,7 +67,7 @@
     Examples
     --------
     >>> answer_words("check leg 4", 2)
-    ['d5bb3226-0', 'd5bb3226-1']
+    ['040be7bf-0', '040be7bf-1']
     """
     tag = hashlib.blake2b(last_message.encode(), digest_size=4).hexdigest()
     return [f"{tag}-{position}" for position in range(n_tokens)]
