--- a/src/pomelothread/peers/http_exchange.py
+++ b/src/pomelothread/peers/http_exchange.py
@@ -84,9 +84,19 @@
 
 @dataclass(frozen=True, slots=True)
 class NotConnected:
-    """No connection was established: nothing of the request was sent."""
+    """No connection was established: nothing of the request was sent.
+
+    Parameters
+    ----------
+    detail : str
+        What libcurl says.
+    is_refused : bool
+        Whether the attempt failed at once, because nothing listens there or no
+        route leads there; False when it timed out.
+    """
 
     detail: str
+    is_refused: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -338,7 +348,7 @@
         if self._head is not None:
             return Cut(detail)
         if error.errno in _CONNECT_ERRORS or not self._is_connected:
-            return NotConnected(detail)
+            return NotConnected(detail, error.errno == pycurl.E_COULDNT_CONNECT)
         return LostBeforeHead(detail)
 
 
--- a/tools/standins/engine.py
+++ b/tools/standins/engine.py
@@ -68,6 +68,7 @@
     clock: Clock
     reports: deque[tuple[float, str]] = field(default_factory=deque)
     tasks: list[asyncio.Task[None]] = field(default_factory=list)
+    started_s: float = field(default_factory=time.time)
     address: str = ""
     stop_listening: Any = None
 
@@ -112,6 +113,7 @@
             lines += [f"# TYPE {name} gauge", f"{name}{label} {float(value)}"]
         for name, value in counters.items():
             lines += [f"# TYPE {name} counter", f"{name}_total{label} {float(value)}"]
+        lines.append(f"process_start_time_seconds {self.started_s}")
         return "\n".join(lines) + "\n"
 
 
