--- a/src/pomelothread/instance_list/client.py
+++ b/src/pomelothread/instance_list/client.py
@@ -1,21 +1,17 @@
 """Reading the instance list in Prometheus HTTP service discovery format."""
 
-import logging
 from collections.abc import Callable
 
 import msgspec
 from returns.result import Failure, Result, Success
-from tornado.curl_httpclient import CurlAsyncHTTPClient
-from tornado.httpclient import HTTPClientError, HTTPRequest
 
 from ..clock import Clock
-from ..events import Event, log_event
-from .membership import Instance, Membership
-
-_logger = logging.getLogger(__name__)
+from ..peers.http_exchange import ExchangeClient, ResponseHead
+from .membership import LEAVING, LIVE, Instance, Membership
 
 POLL_S = 1.0
 TIMEOUT_S = 2.0
+MAX_LIST_BYTES = 8_388_608
 
 
 class _TargetGroup(msgspec.Struct):
@@ -37,7 +33,7 @@
 
     def __init__(self, address: str) -> None:
         self._url = f"http://{address}/instances"
-        self._client = CurlAsyncHTTPClient(force_instance=True)
+        self._client = ExchangeClient(max_exchanges=2)
         self._etag = ""
 
     async def fetch(self) -> Result[Membership | None, str]:
@@ -49,26 +45,33 @@
             None if it has not changed; the failure is a sentence.
         """
         headers = {"If-None-Match": self._etag} if self._etag else {}
-        request = HTTPRequest(
+        exchange = self._client.open_exchange(
+            "GET",
             self._url,
-            headers=headers,
-            connect_timeout=TIMEOUT_S,
-            request_timeout=TIMEOUT_S,
-            follow_redirects=False,
+            headers,
+            connect_timeout_s=TIMEOUT_S,
+            total_timeout_s=TIMEOUT_S,
+            reuses_connection=True,
         )
-        try:
-            response = await self._client.fetch(request, raise_error=False)
-        except (HTTPClientError, OSError) as error:
-            return Failure(str(error))
-        if response.code == 304:
+        head = await exchange.head()
+        if not isinstance(head, ResponseHead):
+            return Failure(str(head))
+        body = await exchange.read_whole(MAX_LIST_BYTES)
+        if head.status == 304:
             return Success(None)
-        if response.code != 200:
-            return Failure(f"status {response.code}")
-        result = parse_instances(response.body)
+        if head.status != 200:
+            return Failure(f"status {head.status}")
+        if not isinstance(body, bytes):
+            return Failure(str(body))
+        result = parse_instances(body)
         if isinstance(result, Success):
-            self._etag = response.headers.get("Etag", "")
+            self._etag = head.headers.get("Etag", "")
         return result
 
+    def close(self) -> None:
+        """Close the connection."""
+        self._client.close()
+
 
 def parse_instances(body: bytes) -> Result[Membership | None, str]:
     """Parse the JSON of the list.
@@ -81,34 +84,50 @@
     Returns
     -------
     Result of Membership or str
-        Groups without an instance name or a target are left out.
+        Groups without an instance name or a target are left out. A state that
+        is neither live nor leaving counts as leaving: work sent to an instance
+        in an unknown state could be lost.
+
+    Examples
+    --------
+    >>> parse_instances(b"[").failure()
+    'malformed: Input data was truncated'
     """
     try:
         groups = _decoder.decode(body)
     except msgspec.DecodeError as error:
         return Failure(f"malformed: {error}")
-    return Success(
-        Membership(
-            tuple(
-                Instance(
-                    name=group.labels["instance"],
-                    role=group.labels.get("role", ""),
-                    state=group.labels.get("state", "live"),
-                    http_address=group.targets[0],
-                    control_address=group.labels.get("control", ""),
-                    failure_domain=group.labels.get("failure_domain", ""),
-                    region=group.labels.get("region", ""),
-                    pool=group.labels.get("pool", ""),
-                )
-                for group in groups
-                if group.targets and group.labels.get("instance")
-            )
-        )
+    instances = [
+        _instance(group)
+        for group in groups
+        if group.targets and group.labels.get("instance")
+    ]
+    return Success(Membership(tuple(instances)))
+
+
+def _instance(group: _TargetGroup) -> Instance:
+    labels = group.labels
+    return Instance(
+        name=labels["instance"],
+        role=labels.get("role", ""),
+        state=LIVE if labels.get("state", LIVE) == LIVE else LEAVING,
+        http_address=group.targets[0],
+        control_address=labels.get("control", ""),
+        failure_domain=labels.get("failure_domain", ""),
+        region=labels.get("region", ""),
+        pool=labels.get("pool", ""),
     )
 
 
+def _ignore_outage(fault: str) -> None:
+    return None
+
+
 async def follow_instances(
-    client: InstanceListClient, clock: Clock, on_change: Callable[[Membership], None]
+    client: InstanceListClient,
+    clock: Clock,
+    on_change: Callable[[Membership], None],
+    on_outage: Callable[[str], None] = _ignore_outage,
 ) -> None:
     """Poll the list for ever.
 
@@ -119,20 +138,23 @@
     clock : Clock
         For the period.
     on_change : callable
-        Called with each new copy.
+        Called with each new copy. It is not called while the list is out, so
+        that the last copy stays in use.
+    on_outage : callable, optional
+        Called with a sentence when the list stops answering or is malformed,
+        and with "" when it is back.
     """
-    failed_at_s: float | None = None
+    is_out = False
     while True:
         match await client.fetch():
             case Success(membership):
-                if failed_at_s is not None:
-                    outage_s = round(clock.monotonic_s() - failed_at_s, 1)
-                    log_event(_logger, Event.LIST_BACK, outage_s=outage_s)
-                    failed_at_s = None
+                if is_out:
+                    is_out = False
+                    on_outage("")
                 if membership is not None:
                     on_change(membership)
-            case Failure(detail):
-                if failed_at_s is None:
-                    failed_at_s = clock.monotonic_s()
-                    log_event(_logger, Event.LIST_UNREACHABLE, detail=detail)
+            case Failure(fault):
+                if not is_out:
+                    is_out = True
+                    on_outage(fault)
         await clock.sleep(POLL_S)
--- a/src/pomelothread/instance_list/membership.py
+++ b/src/pomelothread/instance_list/membership.py
@@ -37,6 +37,9 @@
 class Membership:
     """The last copy of the list; it stands while the list cannot be read.
 
+    An instance is identified by its name: an address that comes back under
+    another name is another instance.
+
     Parameters
     ----------
     instances : tuple of Instance
@@ -67,3 +70,21 @@
     def leaving(self) -> list[Instance]:
         """Return the instances that are leaving."""
         return [i for i in self._instances if i.state == LEAVING]
+
+    def at(self, http_address: str) -> Instance | None:
+        """Return the instance at an address, if one is listed there.
+
+        Parameters
+        ----------
+        http_address : str
+            ``ip:port``.
+
+        Returns
+        -------
+        Instance or None
+            A live one if several are listed, because a lagging list can show
+            the instance that had the address before.
+        """
+        listed = [i for i in self._instances if i.http_address == http_address]
+        live = [i for i in listed if i.state == LIVE]
+        return next(iter(live or listed), None)
--- a/src/pomelothread/peers/http_exchange.py
+++ b/src/pomelothread/peers/http_exchange.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import AsyncIterator, Mapping
+from contextlib import suppress
 from dataclasses import dataclass
 
 import pycurl
@@ -83,9 +84,19 @@
 
 @dataclass(frozen=True, slots=True)
 class NotConnected:
-    """No connection was established: nothing of the request was sent."""
+    """No connection was established: nothing of the request was sent.
+
+    Parameters
+    ----------
+    detail : str
+        What libcurl says.
+    is_refused : bool
+        Whether the attempt failed at once, because nothing listens there or no
+        route leads there; False when it timed out.
+    """
 
     detail: str
+    is_refused: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -176,8 +187,10 @@
         self._n_buffered_bytes = 0
         if self._is_paused and self._curl is not None:
             self._is_paused = False
-            # libcurl hands over what it held back from inside this call.
-            self._curl.pause(pycurl.PAUSE_CONT)
+            # libcurl hands over what it held back from inside this call, and
+            # refuses it when the transfer has failed, which ends the exchange.
+            with suppress(pycurl.error):
+                self._curl.pause(pycurl.PAUSE_CONT)
         return data
 
     async def read_whole(self, max_bytes: int) -> bytes | End:
@@ -232,8 +245,10 @@
         # the pause state brings about.
         self._curl.setopt(pycurl.XFERINFOFUNCTION, _abort)
         self._curl.setopt(pycurl.NOPROGRESS, False)
-        self._curl.pause(pycurl.PAUSE_ALL)
-        self._curl.pause(pycurl.PAUSE_CONT)
+        # Before it is connected the pause is refused, and it runs anyway.
+        with suppress(pycurl.error):
+            self._curl.pause(pycurl.PAUSE_ALL)
+            self._curl.pause(pycurl.PAUSE_CONT)
 
     async def _wait(self) -> None:
         waiter: Future[None] = Future()
@@ -310,12 +325,11 @@
     def _finish(self, future: "Future[HTTPResponse]") -> None:
         """Record the end; called when Tornado's client is done with the handle."""
         self._curl = None
+        # Statuses of 400 and above are no errors, as `raise_error` is off.
+        error = future.exception()
         if self._end is not None:
             return
-        error = future.result().error
-        # Error statuses of the upstream are an HTTPError of another class.
-        is_failed = isinstance(error, CurlError)
-        self._end = self._end_of(error) if is_failed else self._completed()
+        self._end = self._completed() if error is None else self._end_of(error)
         self._wake()
 
     def _completed(self) -> End:
@@ -326,13 +340,15 @@
         is_delimited = "Content-Length" in fields or "Transfer-Encoding" in fields
         return Complete(is_delimited or has_no_body)
 
-    def _end_of(self, error: object) -> End:
-        assert isinstance(error, CurlError)
+    def _end_of(self, error: BaseException) -> End:
+        if not isinstance(error, CurlError):
+            # Tornado refused the request itself, e.g. an illegal header.
+            return NotConnected(str(error))
         detail = f"{error.message} (libcurl error {error.errno})"
         if self._head is not None:
             return Cut(detail)
         if error.errno in _CONNECT_ERRORS or not self._is_connected:
-            return NotConnected(detail)
+            return NotConnected(detail, error.errno == pycurl.E_COULDNT_CONNECT)
         return LostBeforeHead(detail)
 
 
--- a/tools/standins/instance_list.py
+++ b/tools/standins/instance_list.py
@@ -1,100 +1,222 @@
-"""Stand-in for the platform's instance list.
+"""Stand-in of the platform's instance list: Prometheus HTTP service discovery.
 
-Follows Prometheus HTTP service discovery: ``GET /instances`` answers a JSON
-list of ``{"targets": [...], "labels": {...}}``. ``PUT /_instances`` sets it,
-``POST /_faults`` switches `lag_s`, `frozen` and `down`.
+``python -m standins.instance_list --port=0`` prints one JSON line with its
+address when it listens.
 """
 
 import asyncio
+import hashlib
 import sys
-import time
+from collections import deque
+from collections.abc import Sequence
+from dataclasses import asdict, dataclass, field, fields
 from typing import Any
 
+import msgspec
 from absl import flags
+from tornado.httpserver import HTTPServer
 from tornado.web import Application
 
-from standins.serving import JsonHandler, announce, listen, parse_flags
-
-_flags = flags.FlagValues()
-flags.DEFINE_integer("port", 0, "Port; 0 for any.", flag_values=_flags)
-
-
-class ListState:
-    """The list, its history, and the faults."""
-
-    def __init__(self) -> None:
-        self.history: list[tuple[float, list[Any]]] = [(0.0, [])]
-        self.faults: dict[str, Any] = {"lag_s": 0.0, "frozen": False, "down": False}
-        self._frozen_at_s = 0.0
-
-    def put(self, groups: list[Any]) -> None:
-        """Change the list from now on."""
-        self.history.append((time.monotonic(), groups))
-
-    def change_faults(self, values: dict[str, Any]) -> None:
-        """Set some switches."""
-        if values.get("frozen") and not self.faults["frozen"]:
-            self._frozen_at_s = time.monotonic()
-        self.faults.update(values)
-
-    def visible(self) -> list[Any]:
-        """Return the list as a reader sees it now."""
-        until_s = self._frozen_at_s if self.faults["frozen"] else time.monotonic()
-        until_s -= self.faults["lag_s"]
-        return [groups for at_s, groups in self.history if at_s <= until_s or not at_s][
-            -1
-        ]
-
-
-class _Handler(JsonHandler):
-    def initialize(self, state: ListState) -> None:
-        self.state = state
-
-
-class InstancesHandler(_Handler):
-    """``GET /instances``; Tornado adds the ETag."""
+from pomelothread.clock import Clock, SystemClock
+
+from .serving import JsonHandler, announce, listen, parse_flags
+
+FLAGS = flags.FlagValues()
+flags.DEFINE_integer("port", 0, "port, 0 for any free one", flag_values=FLAGS)
+flags.DEFINE_float("lag_s", 0.0, "age of what is shown", flag_values=FLAGS)
+
+
+@dataclass(slots=True)
+class ListFaults:
+    """Faults that can be switched by ``POST /_faults``.
+
+    Parameters
+    ----------
+    lag_s : float
+        A change is shown this long after it was made.
+    frozen : bool
+        What is shown does not change.
+    down : bool
+        Connections close without a response.
+    malformed : bool
+        The answer is cut off in the middle.
+    """
+
+    lag_s: float = 0.0
+    frozen: bool = False
+    down: bool = False
+    malformed: bool = False
+
+
+@dataclass(slots=True)
+class InstanceList:
+    """A listening instance list.
+
+    `changes` are lists that were set, with the time at which each is shown.
+    """
+
+    clock: Clock
+    faults: ListFaults = field(default_factory=ListFaults)
+    current: list[dict[str, Any]] = field(default_factory=list)
+    changes: deque[tuple[float, list[dict[str, Any]]]] = field(default_factory=deque)
+    shown: list[dict[str, Any]] = field(default_factory=list)
+    n_polls: int = 0
+    n_not_modified: int = 0
+    address: str = ""
+    server: HTTPServer | None = None
+
+    def change(self, groups: list[dict[str, Any]]) -> None:
+        """Set the target groups; they are shown after the lag."""
+        self.current = groups
+        shown_from_s = self.clock.monotonic_s() + self.faults.lag_s
+        self.changes.append((shown_from_s, groups))
+
+    def visible(self) -> list[dict[str, Any]]:
+        """Return the target groups that a poll sees now."""
+        if self.faults.frozen:
+            return self.shown
+        now_s = self.clock.monotonic_s()
+        while self.changes and self.changes[0][0] <= now_s:
+            self.shown = self.changes.popleft()[1]
+        return self.shown
+
+    async def stop(self) -> None:
+        """Stop listening and close the connections."""
+        if self.server is not None:
+            self.server.stop()
+            await self.server.close_all_connections()
+
+
+class ListHandler(JsonHandler):
+    """``GET /instances``."""
+
+    def initialize(self, instances: InstanceList) -> None:
+        """Keep the list."""
+        self.instances = instances
 
     def get(self) -> None:
-        """Answer with the list, or 503 while it is down."""
-        if self.state.faults["down"]:
-            self.send_error_text(503, "down")
+        """Send the target groups, or 304 if the caller has them."""
+        self.instances.n_polls += 1
+        if self.instances.faults.down:
+            self.drop_connection()
+            return
+        data = msgspec.json.encode(self.instances.visible())
+        tag = f'"{hashlib.blake2b(data, digest_size=8).hexdigest()}"'
+        self.set_header("Etag", tag)
+        if self.request.headers.get("If-None-Match") == tag:
+            self.instances.n_not_modified += 1
+            self.set_status(304)
             return
-        self.send_json(self.state.visible())
+        self.set_header("Content-Type", "application/json")
+        if self.instances.faults.malformed:
+            data = data[: len(data) // 2]
+        self.finish(data)
 
 
-class SetHandler(_Handler):
-    """``PUT /_instances``."""
+class EditHandler(ListHandler):
+    """``/_instances``: PUT sets the list, DELETE removes an instance or all."""
 
     def put(self) -> None:
-        """Set the list."""
-        self.state.put(self.json_body() or [])
-        self.send_json({})
+        """Set the whole list."""
+        groups = self.json_body()
+        if not isinstance(groups, list):
+            self.send_error_text(400, "the body is not a list of target groups")
+            return
+        self.instances.change(groups)
+        self.set_status(204)
+
+    def delete(self) -> None:
+        """Remove the instance of the query, or all without one."""
+        name = self.get_query_argument("instance", "")
+        kept = [
+            group
+            for group in self.instances.current
+            if name and group.get("labels", {}).get("instance") != name
+        ]
+        self.instances.change(kept)
+        self.set_status(204)
 
 
-class FaultHandler(_Handler):
+class SwitchHandler(ListHandler):
     """``POST /_faults``."""
 
     def post(self) -> None:
-        """Switch faults."""
-        self.state.change_faults(self.json_body() or {})
-        self.send_json(self.state.faults)
-
-
-async def _main(port: int) -> None:
-    argument = {"state": ListState()}
+        """Change some switches."""
+        values = self.json_body() or {}
+        unknown = set(values) - {switch.name for switch in fields(ListFaults)}
+        if unknown:
+            self.send_error_text(400, f"unknown faults {sorted(unknown)}")
+            return
+        for name, value in values.items():
+            setattr(self.instances.faults, name, value)
+        self.send_json(asdict(self.instances.faults))
+
+    def delete(self) -> None:
+        """Reset every switch."""
+        for name, value in asdict(ListFaults()).items():
+            setattr(self.instances.faults, name, value)
+        self.send_json(asdict(self.instances.faults))
+
+
+def target_group(
+    address: str, control: str, instance: str, **labels: str
+) -> dict[str, Any]:
+    """Return the entry of one instance.
+
+    Parameters
+    ----------
+    address, control : str
+        ``ip:port`` of its HTTP server and of its inbox.
+    instance : str
+        Name of the instance.
+    **labels : str
+        Further labels, in place of the defaults.
+
+    Returns
+    -------
+    dict
+        A target group of Prometheus HTTP service discovery.
+    """
+    defaults = {
+        "role": "agent",
+        "state": "live",
+        "failure_domain": "kathiawar-1",
+        "region": "kathiawar",
+        "pool": "",
+    }
+    named = {"instance": instance, "control": control}
+    return {"targets": [address], "labels": named | defaults | labels}
+
+
+def start_instance_list(
+    port: int = 0, lag_s: float = 0.0, clock: Clock | None = None
+) -> InstanceList:
+    """Start an instance list in the running event loop."""
+    instances = InstanceList(clock or SystemClock(), ListFaults(lag_s))
+    shared = {"instances": instances}
     application = Application(
         [
-            (r"/instances", InstancesHandler, argument),
-            (r"/_instances", SetHandler, argument),
-            (r"/_faults", FaultHandler, argument),
+            (r"/instances", ListHandler, shared),
+            (r"/_instances", EditHandler, shared),
+            (r"/_faults", SwitchHandler, shared),
         ],
         log_function=lambda handler: None,
     )
-    _, address = listen(application, port)
-    announce(address=address)
-    await asyncio.Event().wait()
+    instances.server, instances.address = listen(application, port)
+    return instances
+
+
+async def _serve() -> None:
+    instances = start_instance_list(FLAGS.port, FLAGS.lag_s)
+    announce(address=instances.address)
+    await asyncio.get_running_loop().create_future()
+
+
+def main(argv: Sequence[str]) -> None:
+    """Run an instance list until the process is stopped."""
+    parse_flags(FLAGS, argv)
+    asyncio.run(_serve())
 
 
 if __name__ == "__main__":
-    parse_flags(_flags, sys.argv)
-    asyncio.run(_main(_flags.port))
+    main(sys.argv)
--- a/tools/standins/plain_service.py
+++ b/tools/standins/plain_service.py
@@ -1,20 +1,26 @@
-"""Stand-in for the press desk, the ledger and the stock: HTTP with JSON.
+"""Stand-in of a plain service: press desk, ledger and stock.
 
-``POST /orders`` runs an order and keeps it under the Idempotency-Key that it
-receives, without refusing a repeated one, so that a test can count runs.
-``GET /orders/{key}``, ``GET /stock/{item}`` and ``GET /reprints/{id}`` look up.
+It runs every order that arrives, so that a repeated one shows in its list.
+``python -m standins.plain_service --port=0`` prints one JSON line with its
+address when it listens.
 """
 
 import asyncio
 import os
 import sys
+import zlib
 from collections import Counter
+from collections.abc import Sequence
+from dataclasses import dataclass, field
 from typing import Any
 
 from absl import flags
+from tornado.httpserver import HTTPServer
 from tornado.web import Application
 
-from standins.serving import (
+from pomelothread.clock import Clock, SystemClock
+
+from .serving import (
     CountedHandler,
     Counts,
     Faults,
@@ -25,56 +31,114 @@
     parse_flags,
 )
 
-_flags = flags.FlagValues()
-flags.DEFINE_integer("port", 0, "Port; 0 for any.", flag_values=_flags)
-flags.DEFINE_float("service_time_s", 0.005, "Time for one request.", flag_values=_flags)
-
+CRASH_STATUS = 70
+KEY_HEADER = "Idempotency-Key"
+
+FLAGS = flags.FlagValues()
+flags.DEFINE_integer("port", 0, "port, 0 for any free one", flag_values=FLAGS)
+flags.DEFINE_float("service_time_s", 0.005, "time of a request", flag_values=FLAGS)
+flags.DEFINE_integer("n_workers", 4, "requests at the same time", flag_values=FLAGS)
+
+
+@dataclass(slots=True)
+class PlainService:
+    """A listening service, with everything that tests look at."""
+
+    service_time_s: float
+    workers: asyncio.Semaphore
+    clock: Clock
+    faults: Faults = field(default_factory=Faults)
+    counts: Counts = field(default_factory=Counts)
+    orders: list[dict[str, Any]] = field(default_factory=list)
+    runs_by_key: Counter[str] = field(default_factory=Counter)
+    runs_by_body: Counter[str] = field(default_factory=Counter)
+    address: str = ""
+    server: HTTPServer | None = None
+
+    async def serve_one(self) -> None:
+        """Spend the service time of one request at a worker."""
+        async with self.workers:
+            await self.clock.sleep(self.service_time_s * self.faults.slow_factor)
+
+    def run_order(self, key: str, body: bytes, request_id: str) -> dict[str, Any]:
+        """Let an order take effect."""
+        text = body.decode("utf-8", "replace")
+        order = {
+            "number": len(self.orders) + 1,
+            "key": key,
+            "request_id": request_id,
+            "body": text,
+        }
+        self.orders.append(order)
+        self.runs_by_key[key] += 1
+        self.runs_by_body[text] += 1
+        return order
+
+    async def stop(self) -> None:
+        """Stop listening and close the connections."""
+        if self.server is not None:
+            self.server.stop()
+            await self.server.close_all_connections()
 
-class Ledger:
-    """All orders that have run."""
 
-    def __init__(self, service_time_s: float) -> None:
-        self.service_time_s = service_time_s
-        self.runs: Counter[str] = Counter()
-        self.runs_by_body: Counter[str] = Counter()
-        self.answers: dict[str, Any] = {}
+class PlainHandler(CountedHandler):
+    """Base of the calls: applies the faults around `result`."""
 
+    def initialize(self, service: PlainService) -> None:  # type: ignore[override]
+        """Keep the service."""
+        super().initialize(service.counts, service.faults)
+        self.service = service
 
-class PlainHandler(CountedHandler):
-    """Base of the handlers with a service time and faults."""
-
-    def initialize(  # type: ignore[override]
-        self, counts: Counts, faults: Faults, ledger: Ledger
-    ) -> None:
-        """Keep the shared state."""
-        super().initialize(counts, faults)
-        self.ledger = ledger
-
-    async def serve(self, answer: Any, effect: Any = None) -> None:
-        """Answer after the service time, subject to the faults."""
-        cancelled = True
+    async def answer(self, argument: str) -> None:
+        """Serve one call and count how it ended."""
+        is_complete = False
         try:
-            if self.faults.close_before_answer:
-                self.drop_connection()
-                return
-            text = self.request.body.decode(errors="replace")
-            if self.faults.crash_on_text and self.faults.crash_on_text in text:
-                os._exit(1)
-            if self.faults.hang:
-                await self.closed
-                return
-            # A plain service does not stop when its caller leaves.
-            await asyncio.sleep(self.ledger.service_time_s * self.faults.slow_factor)
-            if effect is not None:
-                effect()
-            if self.faults.close_after_effect:
-                self.drop_connection()
-                return
-            cancelled = False
-            if not self.closed.done():
-                self.send_json(answer)
+            is_complete = await self._answer(argument)
         finally:
-            self.counts.end(self.request_id, cancelled)
+            self.counts.end(self.request_id, cancelled=not is_complete)
+
+    async def _answer(self, argument: str) -> bool:
+        marker = self.service.faults.crash_on_text
+        if marker and marker.encode() in self.request.body:
+            os._exit(CRASH_STATUS)
+        if self.faults.close_before_answer:
+            self.drop_connection()
+            return False
+        if self.faults.hang:
+            await self.closed
+            return False
+        work = asyncio.ensure_future(self._serve(argument))
+        # An order goes on when its caller is gone; a lookup need not.
+        is_order = self.request.method == "POST"
+        if not await self.unless_closed(asyncio.shield(work) if is_order else work):
+            if not is_order:
+                return False
+            await work
+        status, value = work.result()
+        if self.faults.close_after_effect or self.faults.cut_after_chunks is not None:
+            self._break_answer()
+            return False
+        if self._finished or self.closed.done():
+            return False
+        self.send_json(value, status)
+        return True
+
+    async def _serve(self, argument: str) -> tuple[int, Any]:
+        await self.service.serve_one()
+        return self.result(argument)
+
+    def _break_answer(self) -> None:
+        if self._finished or self.faults.close_after_effect:
+            self.drop_connection()
+            return
+        self.set_header("Content-Length", "1000")
+        self.write(b"{")
+        self.flush()
+        self.drop_connection()
+
+    def result(self, argument: str) -> tuple[int, Any]:
+        """Return the status and the body of the answer."""
+        raise NotImplementedError
 
 
 class OrdersHandler(PlainHandler):
@@ -82,90 +146,122 @@
 
     async def post(self) -> None:
         """Run an order."""
-        key = self.request.headers.get("Idempotency-Key", "")
-        body = self.request.body.decode(errors="replace")
-        answer = {"order": key, "body": body, "state": "accepted"}
+        await self.answer(self.request.headers.get(KEY_HEADER, ""))
 
-        def run() -> None:
-            self.ledger.runs[key] += 1
-            self.ledger.runs_by_body[body] += 1
-            self.ledger.answers[key] = answer
+    def result(self, argument: str) -> tuple[int, Any]:
+        """Let the order take effect."""
+        body = self.request.body
+        return 201, self.service.run_order(argument, body, self.request_id)
 
-        await self.serve(answer, run)
 
-
-class LookupHandler(JsonHandler):
+class OrderHandler(PlainHandler):
     """``GET /orders/{key}``."""
 
-    def initialize(self, ledger: Ledger) -> None:
-        """Keep the ledger."""
-        self.ledger = ledger
+    async def get(self, key: str) -> None:
+        """Look an order up."""
+        await self.answer(key)
 
-    def get(self, key: str) -> None:
-        """Answer with the order, or 404."""
-        answer = self.ledger.answers.get(key)
-        if answer is None:
-            self.send_error_text(404, "no such order")
-            return
-        self.send_json(answer)
+    def result(self, argument: str) -> tuple[int, Any]:
+        """Find the first order with the key."""
+        for order in self.service.orders:
+            if order["key"] == argument:
+                return 200, order
+        return 404, {"error": f"no order with key {argument}"}
 
 
-class ItemHandler(PlainHandler):
-    """``GET /stock/{item}`` and ``GET /reprints/{id}``."""
+class StockHandler(PlainHandler):
+    """``GET /stock/{item}``."""
 
     async def get(self, item: str) -> None:
-        """Answer a lookup."""
-        await self.serve({"item": item, "n_available": len(item)})
+        """Answer a stock check."""
+        await self.answer(item)
 
+    def result(self, argument: str) -> tuple[int, Any]:
+        """Return a number that follows from the item's name."""
+        return 200, {"item": argument, "n_in_stock": zlib.crc32(argument.encode()) % 97}
 
-class StateHandler(JsonHandler):
-    """``GET /_state``."""
 
-    def initialize(self, counts: Counts, ledger: Ledger) -> None:
-        """Keep the shared state."""
-        self.counts = counts
-        self.ledger = ledger
+class ReprintHandler(PlainHandler):
+    """``GET /reprints/{id}``."""
 
-    def get(self) -> None:
-        """Show the counts."""
-        state = self.counts.report()
-        state["effects"] = dict(self.ledger.runs)
-        state["effects_by_body"] = dict(self.ledger.runs_by_body)
-        self.send_json(state)
+    async def get(self, reprint: str) -> None:
+        """Answer a status lookup."""
+        await self.answer(reprint)
+
+    def result(self, argument: str) -> tuple[int, Any]:
+        """Return a status that follows from the number."""
+        states = ("queued", "on press", "packed", "shipped")
+        state = states[zlib.crc32(argument.encode()) % len(states)]
+        return 200, {"reprint": argument, "status": state}
 
 
 class HealthHandler(JsonHandler):
     """``GET /health``."""
 
-    def initialize(self, faults: Faults) -> None:
-        """Keep the faults."""
-        self.faults = faults
+    def initialize(self, service: PlainService) -> None:
+        """Keep the service."""
+        self.service = service
 
-    def get(self) -> None:
-        """Answer 200 or 503."""
-        self.send_json({}, 503 if self.faults.unhealthy else 200)
+    async def get(self) -> None:
+        """Answer as the switches say."""
+        if self.service.faults.hang:
+            await asyncio.get_running_loop().create_future()
+        self.set_status(503 if self.service.faults.unhealthy else 200)
 
 
-async def _main(port: int, service_time_s: float) -> None:
-    counts, faults, ledger = Counts(), Faults(), Ledger(service_time_s)
-    shared = {"counts": counts, "faults": faults, "ledger": ledger}
+class StateHandler(HealthHandler):
+    """``/_state``: what the receiver counted."""
+
+    async def get(self) -> None:
+        """Show the counts."""
+        service = self.service
+        self.send_json(
+            service.counts.report()
+            | {
+                "orders": service.orders,
+                "effects": dict(service.runs_by_key),
+                "effects_by_body": dict(service.runs_by_body),
+            }
+        )
+
+
+def start_plain_service(
+    service_time_s: float = 0.005,
+    n_workers: int = 4,
+    port: int = 0,
+    clock: Clock | None = None,
+) -> PlainService:
+    """Start a service in the running event loop."""
+    workers = asyncio.Semaphore(n_workers)
+    service = PlainService(service_time_s, workers, clock or SystemClock())
+    shared = {"service": service}
     application = Application(
         [
             (r"/orders", OrdersHandler, shared),
-            (r"/orders/(.+)", LookupHandler, {"ledger": ledger}),
-            (r"/stock/(.+)", ItemHandler, shared),
-            (r"/reprints/(.+)", ItemHandler, shared),
-            (r"/health", HealthHandler, {"faults": faults}),
-            (r"/_faults", FaultsHandler, {"faults": faults}),
-            (r"/_state", StateHandler, {"counts": counts, "ledger": ledger}),
+            (r"/orders/([^/]+)", OrderHandler, shared),
+            (r"/stock/([^/]+)", StockHandler, shared),
+            (r"/reprints/([^/]+)", ReprintHandler, shared),
+            (r"/health", HealthHandler, shared),
+            (r"/_state", StateHandler, shared),
+            (r"/_faults", FaultsHandler, {"faults": service.faults}),
         ],
         log_function=lambda handler: None,
     )
-    _, address = listen(application, port)
-    announce(address=address)
-    await asyncio.Event().wait()
+    service.server, service.address = listen(application, port)
+    return service
+
+
+async def _serve() -> None:
+    service = start_plain_service(FLAGS.service_time_s, FLAGS.n_workers, FLAGS.port)
+    announce(address=service.address)
+    await asyncio.get_running_loop().create_future()
+
+
+def main(argv: Sequence[str]) -> None:
+    """Run a service until the process is stopped."""
+    parse_flags(FLAGS, argv)
+    asyncio.run(_serve())
 
 
 if __name__ == "__main__":
-    parse_flags(_flags, sys.argv)
-    asyncio.run(_main(_flags.port, _flags.service_time_s))
+    main(sys.argv)
