--- a/tools/demo.py
+++ b/tools/demo.py
@@ -24,6 +24,7 @@
 from launcher import Launcher
 from pomelothread.operators.planning import parse_sheet
 from pomelothread.operators.sheet import Sheet
+from processes import LaunchError
 from spans import format_trace, read_trace
 
 LIMIT_S = 120.0
@@ -126,7 +127,7 @@
     """
     executed: Counter[str] = Counter()
     for state in states:
-        executed.update(state.get("effects", {}))
+        executed.update(state.get("runs", {}))
     return executed
 
 
@@ -257,6 +258,13 @@
             return await run(deployment)
     except TimeoutError:
         return [f"the demo did not end within {LIMIT_S:g} s"]
+    except LaunchError as error:
+        return [str(error)]
+    except ExceptionGroup as group:
+        failed, other = group.split(LaunchError)
+        if failed is None or other is not None:
+            raise
+        return [str(error) for error in failed.exceptions]
 
 
 def main(argv: Sequence[str]) -> int:
--- a/tools/launch_settings.py
+++ b/tools/launch_settings.py
@@ -166,7 +166,9 @@
             settings["upstream"] = {
                 "kind": plan.kind,
                 "url": f"http://{announced['address']}",
-                "cache_events": announced.get("cache_events", ""),
+                "cache_events": announced.get("cache_events", "").removeprefix(
+                    "tcp://"
+                ),
                 "enforces_fencing": plan.enforces_fencing,
             }
             settings["places"] = {"initial": plan.n_places}
