--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -63,7 +63,7 @@
 
 
 def test_orders_are_counted_over_all_upstreams():
-    states = [{"runs": {"k": 1}}, {"runs": {"k": 1}}, {"received": {}}]
+    states = [{"effects": {"k": 1}}, {"effects": {"k": 1}}, {"received": {}}]
     assert executed_orders(states) == {"k": 2}
 
 
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -14,7 +14,7 @@
 
 import msgspec
 import psutil
-from absl import app, flags
+from absl import app, flags, logging
 from tornado.httpclient import AsyncHTTPClient
 
 from callers import NOT_KNOWN, RUN, UNTOLD, Answer, Callers, burst, count_outcomes
@@ -127,7 +127,7 @@
     """
     executed: Counter[str] = Counter()
     for state in states:
-        executed.update(state.get("runs", {}))
+        executed.update(state.get("effects", {}))
     return executed
 
 
@@ -271,6 +271,8 @@
     """Run the demo; return 1 if a check failed."""
     if len(argv) > 1:
         raise app.UsageError(f"unexpected arguments {argv[1:]}")
+    # The clients log a line for each request at the level "info".
+    logging.set_verbosity(logging.WARNING)
     faults = asyncio.run(_run_within_limit(DEPLOYMENTS[flags.FLAGS.deployment]))
     for fault in faults:
         print(f"FAULT: {fault}", file=sys.stderr)
