--- a/tools/demo.py
+++ b/tools/demo.py
@@ -14,7 +14,7 @@
 
 import msgspec
 import psutil
-from absl import app, flags
+from absl import app, flags, logging
 from tornado.httpclient import AsyncHTTPClient
 
 from callers import NOT_KNOWN, RUN, UNTOLD, Answer, Callers, burst, count_outcomes
@@ -24,6 +24,7 @@
 from launcher import Launcher
 from pomelothread.operators.planning import parse_sheet
 from pomelothread.operators.sheet import Sheet
+from processes import LaunchError
 from spans import format_trace, read_trace
 
 LIMIT_S = 120.0
@@ -257,12 +258,21 @@
             return await run(deployment)
     except TimeoutError:
         return [f"the demo did not end within {LIMIT_S:g} s"]
+    except LaunchError as error:
+        return [str(error)]
+    except ExceptionGroup as group:
+        failed, other = group.split(LaunchError)
+        if failed is None or other is not None:
+            raise
+        return [str(error) for error in failed.exceptions]
 
 
 def main(argv: Sequence[str]) -> int:
     """Run the demo; return 1 if a check failed."""
     if len(argv) > 1:
         raise app.UsageError(f"unexpected arguments {argv[1:]}")
+    # The clients log a line for each request at the level "info".
+    logging.set_verbosity(logging.WARNING)
     faults = asyncio.run(_run_within_limit(DEPLOYMENTS[flags.FLAGS.deployment]))
     for fault in faults:
         print(f"FAULT: {fault}", file=sys.stderr)
