--- a/src/pomelothread/agent/grants.py
+++ b/src/pomelothread/agent/grants.py
@@ -1,5 +1,6 @@
 """Offers that wait for a place, the grants made from them, and what runs."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from ..clock import Clock
@@ -293,7 +294,7 @@
             return replies
         now_s = self._clock.monotonic_s()
         while len(self.queue):
-            popped = self.queue.pop(self._fits)
+            popped = self.queue.pop(self._first_if_it_fits())
             if popped is None:
                 break
             _, offer = popped
@@ -308,12 +309,27 @@
         """Estimate how many more requests of any tier would get a place now."""
         return max(0, self.limit.n_places - self.n_taken)
 
+    def _first_if_it_fits(self) -> Callable[[Offer], bool]:
+        """Return a test that only the first offer in the queue can pass.
+
+        Otherwise a small request of a lower tier would overtake a protected one
+        that waits for context, and a long report could wait for ever.
+        """
+        is_first = True
+
+        def fits(offer: Offer) -> bool:
+            nonlocal is_first
+            if not is_first:
+                return False
+            is_first = False
+            return self._fits(offer)
+
+        return fits
+
     def _fits(self, offer: Offer) -> bool:
         taken = [granted.offer for granted in self._granted.values()]
         taken += [place.offer for place in self._running.values()]
-        if offer.solo and taken:
-            return False
-        if any(other.solo for other in taken):
+        if taken and (offer.solo or any(other.solo for other in taken)):
             return False
         return self.limit.allows(
             n_running=len(taken),
--- a/src/pomelothread/callers/http.py
+++ b/src/pomelothread/callers/http.py
@@ -170,7 +170,7 @@
         """Answer faults found by the HTTP server as problem details too."""
         match status_code:
             case 404:
-                outcome = NotRun(Reason.UNKNOWN_SERVICE, "No such resource.")
+                outcome = NotRun(Reason.UNKNOWN_RESOURCE, "No such resource.")
             case 405:
                 outcome = NotRun(
                     Reason.METHOD_NOT_ALLOWED, f"{self.request.method} is not allowed."
@@ -275,6 +275,15 @@
                 self.send_outcome(outcome)
 
 
+class UnknownResourceHandler(CallerHandler):
+    """Everything else."""
+
+    def prepare(self) -> None:
+        """Answer 404 before any body is read."""
+        detail = f"There is no resource {self.request.path!r}."
+        self.send_outcome(NotRun(Reason.UNKNOWN_RESOURCE, detail))
+
+
 def caller_routes(
     scheduler: Scheduler,
 ) -> list[tuple[str, type[tornado.web.RequestHandler], dict[str, Scheduler]]]:
@@ -288,7 +297,8 @@
     Returns
     -------
     list of tuple
-        Route specifications for `tornado.web.Application`.
+        Route specifications for `tornado.web.Application`. The last one takes
+        every path, so other routes have to come before these.
     """
     argument = {"scheduler": scheduler}
     return [
@@ -296,4 +306,5 @@
         (r"/v1/models", ModelsHandler, argument),
         (r"/v1/orders/([^/]+)/([^/]+)", OrderHandler, argument),
         (r"/services/([^/]+)(?:/(.*))?", PlainServiceHandler, argument),
+        (r".*", UnknownResourceHandler, argument),
     ]
--- a/src/pomelothread/entry/process.py
+++ b/src/pomelothread/entry/process.py
@@ -131,7 +131,7 @@
         source = StatusSource(
             self.status, self.is_ready, self._replica.snapshot, self._metrics
         )
-        routes: list[Any] = caller_routes(self._scheduler) + status_routes(source)
+        routes: list[Any] = [*status_routes(source), *caller_routes(self._scheduler)]
         server, http_address = listen_http(routes, self._settings.http_address)
         log_event(
             _logger,
--- a/src/pomelothread/outcomes.py
+++ b/src/pomelothread/outcomes.py
@@ -18,6 +18,7 @@
 
     MALFORMED_BODY = ("malformed-body", 400, "The request body is malformed")
     UNAUTHORISED = ("unauthorised", 401, "The bearer token is missing or unknown")
+    UNKNOWN_RESOURCE = ("unknown-resource", 404, "No such resource")
     UNKNOWN_SERVICE = ("unknown-service", 404, "No such service")
     UNKNOWN_KEY = ("unknown-key", 404, "No order with this key has been seen")
     METHOD_NOT_ALLOWED = ("method-not-allowed", 405, "The method is not allowed")
