Hold fewer curl handles and send streamed tokens at once

Cause of an entry's 79.9 MiB at start: Tornado's curl client creates a handle for each possible exchange, and there were 8192. A new setting max_running with 512 leaves 50.3 MiB. Streams had Nagle's algorithm on until their end.

Measured with 'python -m measure_path' on a busy machine (load 7 to 10 of 10 cores): first token added p50 7.72 ms before and 8.07 ms after, which is noise; 4,202 and 4,123 streamed tokens a second with 0.33 and 0.34 of a core at the entry. Ruled out as the main cost: fresh connections, 2.0 ms against 1.4 ms for an exchange at p50, and kept ones could hide a second POST after a crash.

--- a/src/pomelothread/agent/http.py
+++ b/src/pomelothread/agent/http.py
@@ -17,6 +17,7 @@
     RUN,
     Dispatch,
 )
+from ..peers.node import send_at_once
 from .dispatcher import Dispatcher, NotDispatched, RunningRequest
 from .orders import Orders
 
@@ -26,6 +27,7 @@
     handler: "DispatchHandler"
 
     def start(self, status: int, headers: list[tuple[str, str]]) -> None:
+        send_at_once(self.handler)
         self.handler.start(RUN, "", status, headers)
 
     async def write(self, chunk: bytes) -> None:
--- a/src/pomelothread/callers/http.py
+++ b/src/pomelothread/callers/http.py
@@ -20,6 +20,7 @@
     Run,
     problem_response,
 )
+from ..peers.node import send_at_once
 from .requests import (
     CallerRequest,
     ResponseSink,
@@ -70,6 +71,7 @@
     handler: "CallerHandler"
 
     def start(self, status: int, headers: list[tuple[str, str]]) -> None:
+        send_at_once(self.handler)
         self.handler.set_status(status)
         self.handler.clear_header("Content-Type")
         for name, value in headers:
--- a/src/pomelothread/entry/process.py
+++ b/src/pomelothread/entry/process.py
@@ -91,8 +91,7 @@
         self._offers = Offers(
             self.incarnation, self._channel, self._agents, self._waiting, clock
         )
-        # Every waiting or running request may need one exchange.
-        self._client = ExchangeClient(max_exchanges=2 * settings.max_waiting)
+        self._client = ExchangeClient(max_exchanges=settings.max_running)
         self._attempts = Attempts(
             self.incarnation, self._channel, self._agents, self._client, clock
         )
--- a/src/pomelothread/peers/node.py
+++ b/src/pomelothread/peers/node.py
@@ -57,6 +57,22 @@
     return server, f"{host}:{sockets[0].getsockname()[1]}"
 
 
+def send_at_once(handler: tornado.web.RequestHandler) -> None:
+    """Switch off Nagle's algorithm for the response of a handler.
+
+    Tornado does so only at the end of a response. Until then a token would
+    wait for the acknowledgement of the one before, up to 40 ms.
+
+    Parameters
+    ----------
+    handler : RequestHandler
+        One that is about to stream.
+    """
+    stream = getattr(handler.request.connection, "stream", None)
+    if stream is not None:
+        stream.set_nodelay(True)
+
+
 def announce(http_address: str, control_address: str) -> None:
     """Print the addresses as one JSON line, for whoever started the process."""
     line = {"http_address": http_address, "control_address": control_address}
--- a/src/pomelothread/settings.py
+++ b/src/pomelothread/settings.py
@@ -107,6 +107,8 @@
         Number of requests that may wait at once.
     max_waiting_bytes : int
         Total size of the bodies of the waiting requests.
+    max_running : int
+        Number of requests at agents at once; each takes 4 KiB from the start.
     drain_accept_s : float
         How long requests are still accepted after SIGTERM, since the load
         balancer notices the failing readiness late.
@@ -127,6 +129,7 @@
     max_waiting_bytes: int = integer_field(
         1_048_576, 17_179_869_184, default=268_435_456
     )
+    max_running: int = integer_field(1, 65_536, default=512)
     drain_accept_s: float = number_field(0, 600, default=5)
     log_retention_s: float = number_field(60, 31_536_000, default=172_800)
     logging: LoggingSettings
--- /dev/null
+++ b/tools/measure_path.py
@@ -0,0 +1,154 @@
+"""Measures what the path through entry and agent adds and costs.
+
+``python -m measure_path`` starts the `tiny` deployment and prints, with units:
+latency against calling the stand-in directly (paired, alternating), streamed
+tokens a second with the processor time of each process, and memory.
+"""
+
+import asyncio
+import json
+import statistics
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
+
+import psutil
+from absl import app
+
+from deployments import DEPLOYMENTS, Deployment, UpstreamPlan
+from launch_settings import LaunchOptions
+from launcher import Launcher
+from pomelothread.peers.http_exchange import ExchangeClient, ResponseHead
+
+N_PAIRS = 300
+N_STREAMS = 24
+N_STREAM_TOKENS = 400
+TOKEN = "demo-colchester-sports"
+
+
+def fast_deployment() -> Deployment:
+    """Return a deployment whose stand-ins are fast enough not to be measured."""
+    tiny = DEPLOYMENTS["tiny"]
+    upstreams = tuple(_fast(upstream) for upstream in tiny.upstreams)
+    return replace(tiny, upstreams=upstreams, entries=tiny.entries[:1])
+
+
+def _fast(upstream: UpstreamPlan) -> UpstreamPlan:
+    if upstream.kind != "model":
+        return upstream
+    arguments = [a for a in upstream.arguments if not a.startswith("--speed")]
+    return replace(upstream, arguments=(*arguments, "--speed=8"))
+
+
+def chat_body(model: str, n_tokens: int, streamed: bool) -> bytes:
+    """Return the body of a chat completions request."""
+    return json.dumps(
+        {
+            "model": model,
+            "messages": [{"role": "user", "content": "how many bats"}],
+            "max_tokens": n_tokens,
+            "stream": streamed,
+        }
+    ).encode()
+
+
+async def timed_stream(
+    client: ExchangeClient, url: str, body: bytes
+) -> tuple[float, float, int]:
+    """Return time to the first chunk, total time and the number of tokens."""
+    headers = {"Content-Type": "application/json", "Authorization": f"Bearer {TOKEN}"}
+    started_s = time.perf_counter()
+    exchange = client.open_exchange("POST", f"{url}/v1/chat/completions", headers, body)
+    head = await exchange.head()
+    assert isinstance(head, ResponseHead), head
+    assert head.status == 200, head
+    first_s = 0.0
+    n_tokens = 0
+    async for chunk in exchange:
+        first_s = first_s or time.perf_counter() - started_s
+        n_tokens += chunk.count(b'"content"')
+    return first_s, time.perf_counter() - started_s, n_tokens
+
+
+async def paired(client: ExchangeClient, direct_url: str, entry_url: str) -> None:
+    """Print the latency that the path adds, in pairs that alternate."""
+    added_first_ms, added_total_ms, added_token_ms = [], [], []
+    for number in range(N_PAIRS):
+        calls: list[Callable[[], Awaitable[tuple[float, float, int]]]] = [
+            lambda: timed_stream(client, direct_url, chat_body("willow-13b", 16, True)),
+            lambda: timed_stream(client, entry_url, chat_body("buyer-reply", 16, True)),
+        ]
+        if number % 2:
+            second, first = await calls[1](), await calls[0]()
+        else:
+            first, second = await calls[0](), await calls[1]()
+        added_first_ms.append((second[0] - first[0]) * 1e3)
+        added_total_ms.append((second[1] - first[1]) * 1e3)
+        gap = (second[1] - second[0]) - (first[1] - first[0])
+        added_token_ms.append(gap * 1e3 / 15)
+    for name, values in (
+        ("added_first_token_ms", added_first_ms),
+        ("added_total_ms", added_total_ms),
+        ("added_per_token_ms", added_token_ms),
+    ):
+        cuts = statistics.quantiles(values, n=100)
+        print(f"{name}: p50 {statistics.median(values):.2f} p99 {cuts[98]:.2f}")
+
+
+async def throughput(client: ExchangeClient, launcher: Launcher, url: str) -> None:
+    """Print streamed tokens a second and the processor time of each process."""
+    processes = {
+        name: psutil.Process(node.program.pid) for name, node in launcher.nodes.items()
+    }
+    before = {name: sum(p.cpu_times()[:2]) for name, p in processes.items()}
+    body = chat_body("buyer-reply", N_STREAM_TOKENS, True)
+    started_s = time.perf_counter()
+    results = await asyncio.gather(
+        *(timed_stream(client, url, body) for _ in range(N_STREAMS))
+    )
+    elapsed_s = time.perf_counter() - started_s
+    n_tokens = sum(result[2] for result in results)
+    print(f"streamed_tokens_per_s: {n_tokens / elapsed_s:.0f} over {elapsed_s:.2f} s")
+    for name, process in processes.items():
+        used_s = sum(process.cpu_times()[:2]) - before[name]
+        print(
+            f"{name}: {used_s / elapsed_s:.3f} of a core,"
+            f" {used_s / n_tokens * 1e6:.1f} us for each token of the run"
+        )
+
+
+async def run() -> None:
+    """Run all measurements."""
+    options = LaunchOptions(log_level="warning")
+    async with Launcher(fast_deployment(), options) as launcher:
+        for name, node in launcher.nodes.items():
+            memory = psutil.Process(node.program.pid).memory_info().rss
+            print(f"{name}: {memory / 2**20:.1f} MiB resident at start")
+        client = ExchangeClient(max_exchanges=2000)
+        entry_url = launcher.entry_urls[0]
+        direct_url = f"http://{launcher.upstream_address('model-1')}"
+        await paired(client, direct_url, entry_url)
+        for _ in range(3):
+            await throughput(client, launcher, entry_url)
+        before_s = time.perf_counter()
+        cpu = {
+            name: sum(psutil.Process(node.program.pid).cpu_times()[:2])
+            for name, node in launcher.nodes.items()
+        }
+        await asyncio.sleep(10)
+        elapsed_s = time.perf_counter() - before_s
+        for name, node in launcher.nodes.items():
+            used = sum(psutil.Process(node.program.pid).cpu_times()[:2]) - cpu[name]
+            print(f"{name}: {100 * used / elapsed_s:.2f}% of a core when idle")
+        client.close()
+
+
+def main(argv: list[str]) -> None:
+    """Run the measurements."""
+    if len(argv) > 1:
+        raise app.UsageError(f"unexpected arguments {argv[1:]}")
+    asyncio.run(run())
+
+
+if __name__ == "__main__":
+    app.run(main)
