Repeat the demo's order until it is replayed, and show memory and CPU

The demo took the status 201 of a stored response for a fault, and asked again before the result had reached the other agents through the log.

--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -6,7 +6,13 @@
 import pytest
 
 from callers import NOT_KNOWN, NOT_RUN, RUN, UNTOLD, Answer
-from demo import answer_faults, dispatch_faults, executed_orders, order_faults
+from demo import (
+    answer_faults,
+    dispatch_faults,
+    executed_orders,
+    order_faults,
+    repeat_fault,
+)
 from demo_plans import PLANS
 from deployments import DEPLOYMENTS
 from pomelothread.operators.planning import parse_sheet
@@ -56,6 +62,27 @@
     assert all(part in fault for fault in faults)
 
 
+@pytest.mark.parametrize(
+    ("bodies", "n_replayed", "status", "part"),
+    [
+        ([b"a", b"a"], 1, 201, ""),
+        ([b"a", b"a", b"a"], 2, 200, ""),
+        ([b"a", b"b"], 1, 200, "different responses"),
+        ([b"a", b"a", b"a"], 1, 200, "not exactly one"),
+        ([b"a"], 0, 200, "not replayed"),
+        ([b"a", b"a"], 1, 404, "cannot be found"),
+    ],
+)
+def test_callers_of_one_order_get_one_response(bodies, n_replayed, status, part):
+    n_first = len(bodies) - n_replayed
+    answers = [
+        Answer("bulk-order", RUN, 0.1, key="k", body=body, is_replayed=n >= n_first)
+        for n, body in enumerate(bodies)
+    ]
+    fault = repeat_fault("k", answers, status, "")
+    assert (part in fault) if part else (fault == "")
+
+
 def test_a_request_that_reached_two_upstreams_is_a_fault():
     states = [{"received": {"a": 1, "b": 1, "": 5}}, {"received": {"b": 1}}]
     (fault,) = dispatch_faults(states)
--- a/tools/callers.py
+++ b/tools/callers.py
@@ -42,6 +42,8 @@
         Response of a plain service.
     is_replayed : bool
         Whether the response was stored by an earlier request.
+    retry_after_s : float or None
+        When the caller was told to come back.
     """
 
     service: str
@@ -51,6 +53,7 @@
     key: str = ""
     body: bytes = b""
     is_replayed: bool = False
+    retry_after_s: float | None = None
 
 
 class Callers:
@@ -135,7 +138,15 @@
                 calls.service, RUN, duration_s, "", key, response.content, replayed
             )
         outcome, detail = _problem(response)
-        return Answer(calls.service, outcome, duration_s, detail, key)
+        retry_after = response.headers.get("Retry-After")
+        return Answer(
+            calls.service,
+            outcome,
+            duration_s,
+            detail,
+            key,
+            retry_after_s=float(retry_after) if retry_after else None,
+        )
 
     async def order_status(self, service: str, organisation: str, key: str) -> Any:
         """Ask the first entry what became of an order."""
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -20,7 +20,7 @@
 from callers import NOT_KNOWN, RUN, UNTOLD, Answer, Callers, burst, count_outcomes
 from demo_plans import PLANS, Calls
 from deployments import DEPLOYMENTS, Deployment
-from launch_settings import LaunchOptions
+from launch_settings import AGENT, ENTRY, LaunchOptions
 from launcher import Launcher
 from pomelothread.operators.planning import parse_sheet
 from pomelothread.operators.sheet import Sheet
@@ -28,6 +28,7 @@
 from spans import format_trace, read_trace
 
 LIMIT_S = 120.0
+MAX_REPEATS = 10
 
 
 def print_results(sheet: Sheet, answers: list[Answer]) -> None:
@@ -138,7 +139,7 @@
 
 
 async def send_order_twice(callers: Callers, calls: Calls) -> tuple[list[Answer], str]:
-    """Send one order to two entries at once, then ask for it.
+    """Send one order to two entries at once, and again until it is replayed.
 
     Parameters
     ----------
@@ -150,24 +151,68 @@
     Returns
     -------
     tuple of (list of Answer, str)
-        Both answers, then that of a third request after them; and a fault or "".
+        All answers, and a fault or "".
     """
     key = f"twice-{secrets.token_hex(4)}"
-    both = await asyncio.gather(
+    answers = await asyncio.gather(
         *(callers.send_plain(calls, number, key) for number in (0, 1))
     )
-    third = await callers.send_plain(calls, 0, key)
+    for _ in range(MAX_REPEATS):
+        repeated = await callers.send_plain(calls, 0, key)
+        answers.append(repeated)
+        if repeated.retry_after_s is None:
+            break
+        # The result of an order that has run reaches the other agents through
+        # the log; until then they answer that it is running.
+        await asyncio.sleep(repeated.retry_after_s)
     status, text = await callers.order_status(calls.service, calls.organisation, key)
-    for answer in (*both, third):
-        what = "replayed" if answer.is_replayed else answer.detail
-        print(f"  {answer.outcome} {what}")
+    for answer in answers:
+        print(f"  {answer.outcome} {'replayed' if answer.is_replayed else ''}", end="")
+        print(answer.detail)
     print(f"  GET /v1/orders/{calls.service}/{key}: {status}")
-    runs = [a for a in (*both, third) if a.outcome == RUN]
-    if third.outcome != RUN or len({a.body for a in runs}) != 1:
-        return [*both, third], f"order {key}: its callers got different responses"
-    if status != 200:
-        return [*both, third], f"order {key}: cannot be found: {status} {text[:80]}"
-    return [*both, third], ""
+    return answers, repeat_fault(key, answers, status, text)
+
+
+def repeat_fault(key: str, answers: list[Answer], status: int, text: str) -> str:
+    """Return what is wrong with the answers to one order, or "".
+
+    Parameters
+    ----------
+    key : str
+        Idempotency-Key of the order.
+    answers : list of Answer
+        What its callers were told, in order.
+    status : int
+        Status of the question what became of the order.
+    text : str
+        Body of the answer to that question.
+    """
+    if not answers[-1].is_replayed:
+        return f"order {key}: not replayed, but {answers[-1].detail}"
+    runs = [answer for answer in answers if answer.outcome == RUN]
+    if len({answer.body for answer in runs}) != 1:
+        return f"order {key}: its callers got different responses"
+    if sum(not answer.is_replayed for answer in runs) != 1:
+        return f"order {key}: not exactly one caller was told that it ran"
+    if not 200 <= status < 300:
+        return f"order {key}: cannot be found: {status} {text[:80]}"
+    return ""
+
+
+def print_usage(launcher: Launcher) -> None:
+    """Print memory and CPU time of the nodes by role."""
+    for role in (ENTRY, AGENT):
+        processes = [
+            psutil.Process(node.program.pid)
+            for node in launcher.nodes.values()
+            if node.role == role
+        ]
+        rss_mib = max(p.memory_info().rss for p in processes) / 2**20
+        cpu_s = max(sum(p.cpu_times()[:2]) for p in processes)
+        print(
+            f"{len(processes)} x {role}: at most {rss_mib:.0f} MiB resident, "
+            f"{cpu_s:.1f} s of CPU"
+        )
 
 
 async def show_trace(
@@ -216,9 +261,11 @@
             faults += await _exercise(launcher, callers, sheet, plan)
         finally:
             await callers.close()
+        print()
+        print_usage(launcher)
         started_s = time.monotonic()
         statuses = await launcher.stop_nodes()
-        print(f"\nall nodes stopped in {time.monotonic() - started_s:.1f} s")
+        print(f"all nodes stopped in {time.monotonic() - started_s:.1f} s")
         faults += [f"{name}: exit {n}" for name, n in statuses.items() if n != 0]
     if launcher.directory.exists():
         faults.append(f"{launcher.directory} was left behind")
