--- a/src/pomelothread/operators/crosschecks.py
+++ b/src/pomelothread/operators/crosschecks.py
@@ -40,6 +40,7 @@
     rows: Sequence[PlannedRow]
     index_by_column: dict[str, int]
     header_number: int
+    faulty_cells: frozenset[tuple[int, str]]
 
     def fault(
         self, row: int, column: str, given: str, expected: str, to_do: str
@@ -52,7 +53,10 @@
 
 
 def cross_check(
-    rows: Sequence[PlannedRow], index_by_column: dict[str, int], header_number: int
+    rows: Sequence[PlannedRow],
+    index_by_column: dict[str, int],
+    header_number: int,
+    faulty_cells: frozenset[tuple[int, str]],
 ) -> list[SheetFault]:
     """Check the rows of a sheet against each other.
 
@@ -64,23 +68,29 @@
         Position of each column.
     header_number : int
         Row of the header, where faults of the whole sheet are reported.
+    faulty_cells : frozenset of (int, str)
+        Row and column of the faults found so far. What follows from one of
+        them is not reported again.
 
     Returns
     -------
     list of SheetFault
         Empty if the rows agree with each other.
     """
-    checker = _Checker(rows, index_by_column, header_number)
-    return [
+    checker = _Checker(rows, index_by_column, header_number, faulty_cells)
+    found = [
         *_missing_kinds(checker),
         *_duplicates(checker),
         *_tier_faults(checker),
         *_service_faults(checker),
         *_pool_faults(checker),
     ]
+    return [fault for fault in found if (fault.row, fault.column) not in faulty_cells]
 
 
 def _missing_kinds(checker: _Checker) -> Iterator[SheetFault]:
+    if any(column == "kind" for _, column in checker.faulty_cells):
+        return
     for kind in (TIER, ORGANISATION, SERVICE):
         if not checker.of_kind(kind):
             yield checker.fault(
@@ -116,7 +126,8 @@
 def _tier_faults(checker: _Checker) -> Iterator[SheetFault]:
     tiers = checker.of_kind(TIER)
     protected = [row for row in tiers if row.values.get("protected")]
-    if tiers and not protected:
+    is_unclear = any((row.number, "protected") in checker.faulty_cells for row in tiers)
+    if tiers and not protected and not is_unclear:
         yield checker.fault(
             tiers[0].number,
             "protected",
--- a/src/pomelothread/operators/planning.py
+++ b/src/pomelothread/operators/planning.py
@@ -81,7 +81,12 @@
         return Failure(reading.faults)
     for row in rows:
         _read_row(row, table.separator, len(header.cells), reading)
-    reading.faults += cross_check(reading.rows, reading.index_by_column, header.number)
+    reading.faults += cross_check(
+        reading.rows,
+        reading.index_by_column,
+        header.number,
+        frozenset((fault.row, fault.column) for fault in reading.faults),
+    )
     if reading.faults:
         return Failure(sorted(reading.faults, key=lambda f: (f.row, f.column_index)))
     rows_by_kind: dict[str, dict[str, Any]] = {kind: {} for kind in ROW_KINDS}
