Send signals to children without taking their exit status

Cause: Popen.send_signal polls the child before it sends. When SIGCONT followed SIGTERM and the child had just ended, the poll collected its exit status, and asyncio reported 255 ('Unknown child process'). Seen in 2 of 7 runs of tests/test_launcher.py on a busy machine. Ruled out: a second waiter in the launcher; nothing else waits for children.

The test that showed it stays as it is.

--- a/tools/processes.py
+++ b/tools/processes.py
@@ -6,6 +6,7 @@
 import signal
 import sys
 from collections.abc import Sequence
+from contextlib import suppress
 from pathlib import Path
 
 import msgspec
@@ -116,8 +117,12 @@
 
     def signal(self, number: signal.Signals) -> None:
         """Send a signal, if the process is running."""
-        if self._process is not None and self.is_running:
-            self._process.send_signal(number)
+        if self._process is None or not self.is_running:
+            return
+        # Popen.send_signal polls first, and so takes the exit status away from
+        # asyncio, which then reports 255, if the child has just ended.
+        with suppress(ProcessLookupError):
+            os.kill(self._process.pid, number)
 
     async def wait(self) -> int:
         """Wait for the end and return the exit status, negative for a signal."""
