Test several entries and agents together on a bad network

The checks were seen to fail on three broken variants: floors that are not raised, grants that are not used up, and revokes that always say 'never used'.

--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,136 @@
+"""Several entries and agents together keep their promises on a bad network."""
+
+import asyncio
+from collections import Counter
+
+import pytest
+from fake_fleet import Fleet
+
+NETWORKS = {
+    "a good network": {},
+    "lost messages": {"loss": 0.2},
+    "repeated messages": {"repeat": 0.5},
+    "reordered messages": {"reorder": True},
+    "all of these": {"loss": 0.2, "repeat": 0.3, "reorder": True},
+}
+
+
+def make_fleet(case, seed, cut_rate=0.0, **options):
+    fleet = Fleet(seed, **options)
+    fleet.cut_rate = cut_rate
+    for name, value in NETWORKS[case].items():
+        setattr(fleet.network, name, value)
+    return fleet
+
+
+async def run_mixed_load(fleet):
+    """Send more than the fleet can serve, and wait for all answers."""
+    await fleet.step(60)
+    for _ in range(30):
+        for _ in range(fleet.rng.randrange(4)):
+            tier = fleet.rng.choice(["checks", "low", "low"])
+            fleet.call(fleet.rng.randrange(len(fleet.entries)), tier)
+        await fleet.step(5)
+    for _ in range(2000):
+        if not fleet.tasks:
+            break
+        await fleet.step()
+    return fleet
+
+
+@pytest.mark.parametrize("case", NETWORKS)
+@pytest.mark.parametrize("cut_rate", [0.0, 0.3])
+@pytest.mark.parametrize("seed", [1, 2])
+def test_nothing_runs_twice_and_not_run_is_true(case, cut_rate, seed):
+    fleet = asyncio.run(run_mixed_load(make_fleet(case, seed, cut_rate)))
+    runs = Counter(fleet.ran)
+    assert not fleet.tasks, "a caller has no answer"
+    assert [body for body, n in runs.items() if n > 1] == []
+    for body, outcome in fleet.outcomes.items():
+        if outcome == "run":
+            assert runs[body] == 1, body
+        if outcome == "not-run":
+            assert runs[body] == 0, body
+
+
+@pytest.mark.parametrize("case", NETWORKS)
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_check_is_not_shed_while_another_entry_keeps_lower_work(case, seed):
+    async def scenario():
+        fleet = make_fleet(case, seed, n_places=2)
+        fleet.service_time_s = 30.0
+        await fleet.step(60)
+        # Both engines are filled by work that outlives every deadline.
+        for _ in range(4):
+            fleet.call(0, "checks", deadline_s=60.0)
+            await fleet.step(20)
+        low = [fleet.call(1, "low", deadline_s=60.0) for _ in range(8)]
+        await fleet.step(20)
+        check = fleet.call(0, "checks", deadline_s=1.0)
+        n_kept = None
+        for _ in range(1000):
+            if check in fleet.outcomes:
+                break
+            n_kept = fleet.n_kept_below(0)
+            await fleet.step()
+        return fleet, low, check, n_kept
+
+    fleet, low, check, n_kept = asyncio.run(scenario())
+    assert fleet.outcomes[check] == "not-run"
+    assert n_kept == 0
+    at_s = fleet.ended_at_s[check]
+    kept = [body for body in low if fleet.ended_at_s.get(body, at_s + 1) > at_s]
+    assert kept == []
+
+
+def test_a_full_entry_evicts_lower_work_for_a_check():
+    async def scenario():
+        fleet = Fleet(max_waiting=3, n_places=1, n_agents=1)
+        fleet.service_time_s = 5.0
+        await fleet.step(60)
+        fleet.call(0, "checks", deadline_s=60.0)
+        await fleet.step(5)
+        low = [fleet.call(0, "low", deadline_s=60.0) for _ in range(3)]
+        await fleet.step(5)
+        check = fleet.call(0, "checks", deadline_s=60.0)
+        await fleet.step(5)
+        return fleet, low, check
+
+    fleet, low, check = asyncio.run(scenario())
+    assert check not in fleet.outcomes
+    assert [fleet.outcomes.get(body) for body in low] == [None, None, "not-run"]
+
+
+def test_an_entry_full_of_checks_sheds_all_lower_work_before_a_check():
+    async def scenario():
+        fleet = Fleet(max_waiting=3, n_places=1, n_agents=1)
+        fleet.service_time_s = 30.0
+        await fleet.step(60)
+        for _ in range(4):
+            fleet.call(0, "checks", deadline_s=60.0)
+            await fleet.step(2)
+        low = fleet.call(1, "low", deadline_s=60.0)
+        await fleet.step(5)
+        last = fleet.call(0, "checks", deadline_s=60.0)
+        await fleet.step(50)
+        return fleet, low, last
+
+    fleet, low, last = asyncio.run(scenario())
+    assert fleet.outcomes[low] == "not-run"
+    assert fleet.outcomes[last] == "not-run"
+    assert fleet.ended_at_s[low] <= fleet.ended_at_s[last]
+
+
+def test_the_answer_comes_at_once_when_the_deadline_has_passed():
+    async def scenario():
+        fleet = Fleet(n_places=1, n_agents=1)
+        fleet.service_time_s = 30.0
+        await fleet.step(60)
+        fleet.call(0, "checks", deadline_s=60.0)
+        await fleet.step(5)
+        sent_at_s = fleet.clock.monotonic_s()
+        low = fleet.call(0, "low", deadline_s=0.5)
+        await fleet.step(100)
+        return fleet.ended_at_s[low] - sent_at_s
+
+    assert asyncio.run(scenario()) == pytest.approx(0.5, abs=0.03)
