Add claims on idempotency keys over the log

Orders must run at most once and stay findable when claimants die, pause or lose the log's answers. Claimant batches claims, confirms them by reading back, abandons or takes over unconfirmed ones, repeats responses until they are on the log, and carries keys forward before retention deletes them.

The generated orders showed a fault in the first version: the record by which a successor shows itself was deleted by retention, so new readers took the claim of its predecessor for running. Carried copies now state that the holder is gone; a test guards against it.

--- a/src/pomelothread/log/tail.py
+++ b/src/pomelothread/log/tail.py
@@ -120,8 +120,10 @@
     async def run(self) -> None:
         """Follow the topic until the task is cancelled."""
         while True:
-            # Only a read that does not wait shows that the end is reached.
-            wait_s = self._poll_wait_s if self.is_caught_up else 0.0
+            # Only a read that does not wait shows that the end is reached, and
+            # after an outage it shows at once that the log works again.
+            is_steady = self.is_caught_up and self.failure is None
+            wait_s = self._poll_wait_s if is_steady else 0.0
             match await self._client.read(self._topic, self.next_offset, wait_s):
                 case Success(batch):
                     self.failure = None
--- /dev/null
+++ b/tests/naive_claims.py
@@ -0,0 +1,48 @@
+"""Claims kept in the memory of one process, right as long as it lives."""
+
+from pomelothread.log.claim_results import (
+    AlreadyDone,
+    AlreadyRunning,
+    ClaimAbandoned,
+    Claimed,
+    ClaimResult,
+    ClaimToken,
+    KeyReused,
+    LookupResult,
+    NeverSeen,
+)
+from pomelothread.outcomes import Run
+
+
+class NaiveClaims:
+    """Remembers each key with its body and its response."""
+
+    def __init__(self) -> None:
+        self._orders: dict[str, tuple[bytes, Run | None]] = {}
+        self._abandoned: set[str] = set()
+
+    def claim(self, key: str, body: bytes) -> ClaimResult:
+        if key not in self._orders:
+            self._orders[key] = (body, None)
+            self._abandoned.discard(key)
+            return Claimed(ClaimToken(key.encode(), body, 1, 0, 0))
+        first_body, run = self._orders[key]
+        if body != first_body:
+            return KeyReused()
+        return AlreadyRunning() if run is None else AlreadyDone(run)
+
+    def finish(self, key: str, status: int, headers, body: bytes) -> None:
+        order = self._orders[key][0]
+        self._orders[key] = (order, Run(status, headers, body, replayed=True))
+
+    def abandon(self, key: str) -> None:
+        del self._orders[key]
+        self._abandoned.add(key)
+
+    def lookup(self, key: str) -> LookupResult:
+        if key in self._abandoned:
+            return ClaimAbandoned()
+        if key not in self._orders:
+            return NeverSeen()
+        run = self._orders[key][1]
+        return AlreadyRunning() if run is None else AlreadyDone(run)
--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,371 @@
+"""Claims under each fault, and under each pair of them."""
+
+import asyncio
+import itertools
+from datetime import UTC, datetime
+
+import pytest
+from claims_rig import HEADERS, KEY_LIFE_S, RETENTION_S, TOPIC, Fleet, run_fleet
+
+from pomelothread.log import claim_results as results
+from pomelothread.log.claim_results import AlreadyDone, Claimed, ClaimUnavailable
+from pomelothread.outcomes import Run
+
+KEY = "order-17"
+BODY = b"10 maps"
+
+
+class Fault:
+    """Does nothing; subclasses change the course of one claim by node "a"."""
+
+    replaces_claimant = False
+
+    def begin(self, fleet: Fleet) -> None: ...
+
+    async def during(self, fleet: Fleet) -> None: ...
+
+    def end(self, fleet: Fleet) -> None: ...
+
+
+class AnswerLost(Fault):
+    def begin(self, fleet: Fleet) -> None:
+        fleet.log.faults.n_lost_answers = 1
+
+
+class RequestLost(Fault):
+    def begin(self, fleet: Fleet) -> None:
+        fleet.log.faults.n_lost_requests = 1
+
+
+class AppendIsLate(Fault):
+    def begin(self, fleet: Fleet) -> None:
+        fleet.log.faults.n_late_appends = 4
+
+    def end(self, fleet: Fleet) -> None:
+        fleet.log.faults.n_late_appends = 0
+        fleet.log.deliver_late()
+
+
+class Refused(Fault):
+    def begin(self, fleet: Fleet) -> None:
+        fleet.log.faults.refuse_appends = True
+
+    def end(self, fleet: Fleet) -> None:
+        fleet.log.faults.refuse_appends = False
+
+
+class Down(Fault):
+    async def during(self, fleet: Fleet) -> None:
+        fleet.log.faults.down = True
+
+    def end(self, fleet: Fleet) -> None:
+        fleet.log.faults.down = False
+
+
+class Slow(Fault):
+    def begin(self, fleet: Fleet) -> None:
+        fleet.log.faults.delay_s = 2.5
+        fleet.log.faults.delay_answer_s = 4.0
+
+    def end(self, fleet: Fleet) -> None:
+        fleet.log.faults.delay_s = fleet.log.faults.delay_answer_s = 0.0
+
+
+class Race(Fault):
+    def begin(self, fleet: Fleet) -> None:
+        fleet.begin_claim("b", KEY, BODY)
+
+
+class OtherBody(Fault):
+    async def during(self, fleet: Fleet) -> None:
+        fleet.begin_claim("a", KEY, b"20 maps")
+        fleet.begin_claim("b", KEY, b"20 maps")
+
+
+class Replaced(Fault):
+    replaces_claimant = True
+
+    async def during(self, fleet: Fleet) -> None:
+        fleet.start("a")
+
+
+class PausedBeforeConfirmation(Fault):
+    async def during(self, fleet: Fleet) -> None:
+        fleet.nodes["a"].process.running.clear()
+
+    def end(self, fleet: Fleet) -> None:
+        fleet.nodes["a"].process.running.set()
+
+
+class PausedBeyondRetention(PausedBeforeConfirmation):
+    """Node "b" carries the claims forward meanwhile."""
+
+    async def during(self, fleet: Fleet) -> None:
+        await super().during(fleet)
+        fleet.log.faults.retention_s = RETENTION_S
+        await fleet.advance(RETENTION_S * 1.5, 48)
+
+
+FAULTS = (
+    AnswerLost,
+    RequestLost,
+    AppendIsLate,
+    Refused,
+    Down,
+    Slow,
+    Race,
+    OtherBody,
+    Replaced,
+    PausedBeforeConfirmation,
+    PausedBeyondRetention,
+)
+PAIRS = [(one,) for one in FAULTS] + list(itertools.combinations(FAULTS, 2))
+
+
+def name_of(faults: tuple[type[Fault], ...]) -> str:
+    return "+".join(fault.__name__ for fault in faults)
+
+
+@pytest.mark.parametrize("kinds", PAIRS, ids=name_of)
+def test_an_order_runs_once_and_stays_findable(kinds) -> None:
+    """Guards against a second dispatch and against an order that is lost."""
+    faults = [kind() for kind in kinds]
+
+    async def scenario(fleet: Fleet) -> None:
+        for fault in faults:
+            fault.begin(fleet)
+        fleet.begin_claim("a", KEY, BODY)
+        await fleet.advance(0.02, 1)
+        for fault in faults:
+            await fault.during(fleet)
+        await fleet.advance(3.0)
+        for fault in faults:
+            fault.end(fleet)
+        await fleet.advance(12.0)
+        for name in "abab":
+            await fleet.claim(name, KEY, BODY)
+            await fleet.advance(6.0)
+        fleet.start("c")
+        await fleet.advance(1.0)
+        found = [await fleet.lookup(name, KEY) for name in "abc"]
+        assert fleet.n_dispatched[KEY] <= 1
+        assert len(set(found)) == 1
+        match found[0]:
+            case AlreadyDone(Run(status, headers, body, replayed)):
+                expected = (201, HEADERS, fleet.finished[KEY], True)
+                assert (status, headers, body, replayed) == expected
+            case results.ClaimNotKnown():
+                assert any(fault.replaces_claimant for fault in faults)
+            case other:
+                raise AssertionError(other)
+
+    run_fleet(scenario, "a", "b")
+
+
+def test_orders_are_refused_at_once_while_the_log_is_down() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        fleet.log.faults.down = True
+        assert isinstance(await fleet.claim("a", "first"), ClaimUnavailable)
+        task = fleet.begin_claim("a", "second", BODY)
+        await fleet.settle()  # the clock does not move
+        assert isinstance(task.result(), ClaimUnavailable)
+        fleet.log.faults.down = False
+        await fleet.advance(20.0)
+        assert isinstance(await fleet.claim("a", "second"), Claimed)
+
+    run_fleet(scenario, "a")
+
+
+def test_an_unconfirmed_claim_is_abandoned_when_it_shows_up() -> None:
+    """Guards against a key that is blocked by a claim nobody acts on."""
+
+    async def scenario(fleet: Fleet) -> None:
+        fleet.log.faults.n_late_appends = 100
+        assert isinstance(await fleet.claim("a", KEY), ClaimUnavailable)
+        fleet.log.faults.n_late_appends = 0
+        await fleet.advance(6.0)
+        fleet.log.deliver_late()
+        await fleet.advance(0.1)
+        assert await fleet.lookup("b", KEY) == results.ClaimAbandoned()
+        assert isinstance(await fleet.claim("b", KEY), Claimed)
+
+    run_fleet(scenario, "a", "b")
+
+
+def test_a_retry_takes_over_the_unconfirmed_claim_of_the_same_claimant() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        fleet.log.faults.n_late_appends = 100
+        assert isinstance(await fleet.claim("a", KEY), ClaimUnavailable)
+        await fleet.advance(6.0)
+        retry = fleet.begin_claim("a", KEY, BODY)
+        await fleet.settle()
+        fleet.log.deliver_late()
+        await fleet.settle()
+        assert isinstance(retry.result(), Claimed)
+
+    run_fleet(scenario, "a")
+
+
+def test_responses_are_findable_while_the_log_refuses_them() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        task = fleet.begin_claim("a", KEY, BODY, dispatch=False)
+        await fleet.advance(0.1)
+        fleet.log.faults.down = True
+        claimant = fleet.nodes["a"].claimant
+        await claimant.finish(task.result().token, 201, HEADERS, b"ran")
+        await fleet.advance(30.0)
+        done = AlreadyDone(Run(201, HEADERS, b"ran", replayed=True))
+        assert await fleet.lookup("a", KEY) == done
+        assert await fleet.claim("a", KEY) == done
+        flushing = asyncio.ensure_future(claimant.flush())
+        await fleet.advance(30.0)
+        assert not flushing.done()
+        fleet.log.faults.down = False
+        await fleet.advance(10.0)
+        assert flushing.done()
+        assert await fleet.lookup("b", KEY) == done
+
+    run_fleet(scenario, "a", "b")
+
+
+def test_claims_made_together_share_one_log_record() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        n_before = fleet.log.n_appends
+        tasks = [fleet.begin_claim("a", f"k{n}", BODY, False) for n in range(100)]
+        await fleet.advance(0.05)
+        assert all(isinstance(task.result(), Claimed) for task in tasks)
+        assert fleet.log.n_appends == n_before + 1
+
+    run_fleet(scenario, "a")
+
+
+def test_a_claim_of_a_claimant_that_is_gone_is_not_known() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        fleet.begin_claim("a", KEY, BODY, dispatch=False)
+        await fleet.advance(0.1)
+        assert await fleet.claim("b", KEY) == results.AlreadyRunning()
+        assert await fleet.claim("b", KEY, b"20 maps") == results.KeyReused()
+        fleet.start("a")
+        await fleet.advance(0.1)
+        for name in "ab":
+            assert await fleet.claim(name, KEY) == results.ClaimNotKnown()
+
+    run_fleet(scenario, "a", "b")
+
+
+def test_a_claimant_that_is_gone_stays_so_after_retention() -> None:
+    """Guards against a claim that shows as running for ever to new readers."""
+
+    async def scenario(fleet: Fleet) -> None:
+        fleet.log.faults.retention_s = RETENTION_S
+        fleet.begin_claim("a", KEY, BODY, dispatch=False)
+        await fleet.advance(0.1)
+        fleet.start("a")
+        await fleet.advance(RETENTION_S * 2.5, 80)
+        fleet.start("c")
+        await fleet.advance(1.0)
+        for name in "abc":
+            assert await fleet.lookup(name, KEY) == results.ClaimNotKnown()
+
+    run_fleet(scenario, "a", "b")
+
+
+def test_keys_survive_several_retentions_and_then_expire() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        fleet.log.faults.retention_s = RETENTION_S
+        await fleet.claim("a", "done")
+        fleet.begin_claim("a", "running", BODY, dispatch=False)
+        task = fleet.begin_claim("a", "abandoned", BODY, dispatch=False)
+        await fleet.advance(0.1)
+        await fleet.nodes["a"].claimant.abandon(task.result().token)
+        await fleet.advance(RETENTION_S * 4, 128)
+        fleet.start("c")
+        await fleet.advance(1.0)
+        assert isinstance(await fleet.lookup("c", "done"), AlreadyDone)
+        assert await fleet.lookup("c", "running") == results.AlreadyRunning()
+        assert await fleet.lookup("c", "abandoned") == results.ClaimAbandoned()
+        assert isinstance(await fleet.claim("c", "abandoned"), Claimed)
+        await fleet.advance(KEY_LIFE_S + 600, 1000)
+        assert await fleet.lookup("c", "done") == results.NeverSeen()
+        assert len(fleet.nodes["c"].claimant.ledger.entries) == 0
+
+    run_fleet(scenario, "a", "b")
+
+
+def test_nothing_is_claimed_after_a_record_in_a_newer_format() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        await fleet.log.append(TOPIC, {"format": 2, "claims": []})
+        await fleet.settle()
+        assert isinstance(await fleet.claim("a", KEY), ClaimUnavailable)
+
+    run_fleet(scenario, "a")
+
+
+def test_malformed_records_and_unknown_kinds_are_counted_and_skipped() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        author = ["x", 0, "1"]
+        entries = [["new-kind", 1], 7, ["claim", "!"], ["started"]]
+        value = {"author": author, "sequence": 1, "entries": entries}
+        await fleet.log.append(TOPIC, value)
+        await fleet.log.append(TOPIC, {"author": 3})
+        await fleet.settle()
+        assert fleet.nodes["a"].claimant.ledger.n_unknown == 4
+        assert isinstance(await fleet.claim("a", KEY), Claimed)
+
+    run_fleet(scenario, "a")
+
+
+def uuid7_at(seconds_from_now: float) -> str:
+    now_s = datetime(2026, 3, 1, tzinfo=UTC).timestamp() + seconds_from_now
+    digits = f"{round(now_s * 1000):012x}" + "7" + "0" * 3 + "8" + "0" * 15
+    return "-".join((digits[:8], digits[8:12], digits[12:16], digits[16:20])) + (
+        "-" + digits[20:]
+    )
+
+
+@pytest.mark.parametrize(
+    ("key", "dated_keys", "expected"),
+    [
+        (uuid7_at(0), True, Claimed),
+        (uuid7_at(-KEY_LIFE_S + 60), True, Claimed),
+        (uuid7_at(-KEY_LIFE_S - 60), True, results.KeyExpired),
+        (uuid7_at(-KEY_LIFE_S - 60), False, results.KeyExpired),
+        (uuid7_at(3600), True, results.KeyNotDated),
+        ("order-17", True, results.KeyNotDated),
+        ("order-17", False, Claimed),
+    ],
+)
+def test_dates_of_keys(key, dated_keys, expected) -> None:
+    async def scenario(fleet: Fleet) -> None:
+        claimant = fleet.nodes["a"].claimant
+        claiming = asyncio.ensure_future(
+            claimant.claim(key, BODY, "print", "club", KEY_LIFE_S, dated_keys)
+        )
+        await fleet.advance(0.1)
+        assert isinstance(claiming.result(), expected)
+
+    run_fleet(scenario, "a")
+
+
+@pytest.mark.parametrize("size_bytes", [0, 16 * 1024, 16 * 1024 + 1])
+def test_large_bodies_are_left_out_of_the_log(size_bytes: int) -> None:
+    async def scenario(fleet: Fleet) -> None:
+        task = fleet.begin_claim("a", KEY, BODY, dispatch=False)
+        await fleet.advance(0.1)
+        body = b"x" * size_bytes
+        await fleet.nodes["a"].claimant.finish(task.result().token, 200, (), body)
+        await fleet.advance(0.1)
+        is_stored = size_bytes <= 16 * 1024
+        run = Run(200, (), body if is_stored else b"", replayed=True)
+        assert await fleet.lookup("b", KEY) == AlreadyDone(run, not is_stored)
+
+    run_fleet(scenario, "a", "b")
+
+
+def test_no_key_and_no_body_is_on_the_log() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        fleet.begin_claim("a", "secret-key", b"secret-body", dispatch=False)
+        await fleet.advance(0.1)
+        assert "secret" not in str(fleet.log.values(TOPIC))
+
+    run_fleet(scenario, "a")
