--- a/tests/claims_rig.py
+++ b/tests/claims_rig.py
@@ -22,19 +22,24 @@
 
 
 class Paused:
-    """Clock and log of one process; nothing returns while it is paused."""
+    """Clock and log of one process; nothing returns while it is paused.
+
+    `reads` and `timers` hold up only the reads of the log, or the delays.
+    """
 
     def __init__(self, clock: ManualClock, log: MemoryLog) -> None:
         self._clock = clock
         self._log = log
-        self.running = asyncio.Event()
-        self.running.set()
+        self.running, self.reads, self.timers = (asyncio.Event() for _ in range(3))
+        for gate in (self.running, self.reads, self.timers):
+            gate.set()
         self.now = clock.now
         self.monotonic_s = clock.monotonic_s
 
     async def sleep(self, delay_s: float) -> None:
         await self._clock.sleep(delay_s)
         await self.running.wait()
+        await self.timers.wait()
 
     async def append(
         self, topic: str, value: dict[str, Any]
@@ -48,9 +53,12 @@
         self, topic: str, offset: int, max_wait_s: float
     ) -> Result[LogBatch, LogFailure]:
         await self.running.wait()
-        result = await self._log.read(topic, offset, max_wait_s)
-        await self.running.wait()
-        return result
+        while True:
+            await self.reads.wait()
+            result = await self._log.read(topic, offset, max_wait_s)
+            await self.running.wait()
+            if self.reads.is_set():
+                return result
 
 
 class Node:
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -8,7 +8,18 @@
 from claims_rig import HEADERS, KEY_LIFE_S, RETENTION_S, TOPIC, Fleet, run_fleet
 
 from pomelothread.log import claim_results as results
+from pomelothread.log.claim_records import (
+    Carried,
+    Claim,
+    ClaimantId,
+    Done,
+    KeyState,
+    encode_batch,
+)
 from pomelothread.log.claim_results import AlreadyDone, Claimed, ClaimUnavailable
+from pomelothread.log.claim_writer import CLAIM_BATCH_S
+from pomelothread.log.claims import ClaimLedger
+from pomelothread.log.records import LogRecord
 from pomelothread.outcomes import Run
 
 KEY = "order-17"
@@ -165,7 +176,9 @@
 def test_orders_are_refused_at_once_while_the_log_is_down() -> None:
     async def scenario(fleet: Fleet) -> None:
         fleet.log.faults.down = True
+        began_s = fleet.clock.monotonic_s()
         assert isinstance(await fleet.claim("a", "first"), ClaimUnavailable)
+        assert fleet.clock.monotonic_s() <= began_s + 2 * CLAIM_BATCH_S
         task = fleet.begin_claim("a", "second", BODY)
         await fleet.settle()  # the clock does not move
         assert isinstance(task.result(), ClaimUnavailable)
@@ -206,6 +219,124 @@
     run_fleet(scenario, "a")
 
 
+def test_a_claim_is_not_taken_over_once_its_abandonment_may_be_on_the_log() -> None:
+    """Guards against a dispatch after ``abandoned`` has freed the key."""
+
+    async def scenario(fleet: Fleet) -> None:
+        fleet.log.faults.n_late_appends = 100
+        await fleet.claim("a", KEY)
+        await fleet.advance(6.0)
+        fleet.log.deliver_late()
+        await fleet.advance(0.05)  # the append of its abandonment is late, too
+        assert not isinstance(await fleet.claim("a", KEY), Claimed)
+        fleet.log.faults.n_late_appends = 0
+        fleet.log.deliver_late()
+        await fleet.advance(6.0)
+        assert isinstance(await fleet.claim("b", KEY), Claimed)
+        await fleet.claim("a", KEY)
+        assert fleet.n_dispatched[KEY] == 1
+
+    run_fleet(scenario, "a", "b")
+
+
+def test_a_record_read_back_too_late_confirms_nothing() -> None:
+    """Guards against a resumed process that reads before its timers run."""
+
+    async def scenario(fleet: Fleet) -> None:
+        process = fleet.nodes["a"].process
+        task = fleet.begin_claim("a", KEY, BODY)
+        process.reads.clear()
+        await fleet.advance(0.05)
+        process.timers.clear()
+        await fleet.advance(60.0)
+        process.reads.set()
+        await fleet.settle()
+        assert isinstance(task.result(), ClaimUnavailable)
+        process.timers.set()
+        await fleet.advance(0.1)
+        assert await fleet.lookup("b", KEY) == results.ClaimAbandoned()
+
+    run_fleet(scenario, "a", "b")
+
+
+def test_a_gap_in_the_records_confirms_nothing() -> None:
+    """Guards against a winner whose rival's claim was deleted unread."""
+
+    async def scenario(fleet: Fleet) -> None:
+        process = fleet.nodes["a"].process
+        process.reads.clear()
+        await fleet.claim("b", KEY)
+        entry = next(iter(fleet.nodes["b"].claimant.ledger.entries.items()))
+        rival = fleet.begin_claim("a", KEY, BODY)
+        await fleet.advance(0.05)
+        carried = Carried(
+            entry[0],
+            entry[1].body_digest,
+            entry[1].holder,
+            entry[1].attempt,
+            entry[1].origin,
+            entry[1].expires_at_ms,
+            abandoned=False,
+        )
+        author = fleet.nodes["b"].claimant.id
+        await fleet.log.append(TOPIC, encode_batch(author, 99, [carried]))
+        fleet.log.expire_before(TOPIC, len(fleet.log.values(TOPIC)) - 2)
+        process.reads.set()
+        await fleet.settle()
+        assert isinstance(rival.result(), ClaimUnavailable)
+        await fleet.advance(6.0)
+        assert await fleet.claim("a", KEY) == results.AlreadyRunning()
+        assert fleet.n_dispatched[KEY] == 1
+
+    run_fleet(scenario, "a", "b")
+
+
+def test_an_abandonment_lost_in_a_gap_is_appended_again() -> None:
+    """Guards against a key that one claimant can never claim again."""
+
+    async def scenario(fleet: Fleet) -> None:
+        process = fleet.nodes["a"].process
+        task = fleet.begin_claim("a", KEY, BODY, dispatch=False)
+        await fleet.advance(0.1)
+        await fleet.nodes["a"].claimant.abandon(task.result().token)
+        process.reads.clear()
+        await fleet.advance(0.1)
+        fleet.log.expire_before(TOPIC, len(fleet.log.values(TOPIC)))
+        await fleet.log.append(TOPIC, {"author": 3})
+        process.reads.set()
+        await fleet.advance(0.1)
+        assert isinstance(await fleet.claim("a", KEY), Claimed)
+
+    run_fleet(scenario, "a")
+
+
+def test_nothing_is_claimed_before_the_log_was_read_to_its_end() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        fleet.start("c").process.reads.clear()
+        n_before = fleet.log.n_appends
+        task = fleet.begin_claim("c", KEY, BODY)
+        await fleet.settle()
+        assert isinstance(task.result(), ClaimUnavailable)
+        assert fleet.log.n_appends == n_before
+
+    run_fleet(scenario, "a")
+
+
+def test_a_response_on_the_log_is_final() -> None:
+    """Guards against a key that a later claim opens again."""
+    author = ClaimantId("a", 0, "1")
+    claim = Claim(b"k", b"x", "print", "club", 1, 60_000)
+    done = Done(b"k", b"x", 1, 0, 2_000_000_000_000, 200, (), b"ran")
+    again = Claim(b"k", b"x", "print", "club", 2, 60_000)
+    ledger = ClaimLedger()
+    at = datetime(2026, 3, 1, tzinfo=UTC)
+    for offset, record in enumerate((claim, done, again, claim)):
+        value = encode_batch(author, offset, [record])
+        ledger.apply(LogRecord(TOPIC, offset, at, value))
+    entry = ledger.entries[b"k"]
+    assert (entry.state, entry.origin, entry.done_offset) == (KeyState.DONE, 0, 1)
+
+
 def test_responses_are_findable_while_the_log_refuses_them() -> None:
     async def scenario(fleet: Fleet) -> None:
         task = fleet.begin_claim("a", KEY, BODY, dispatch=False)
--- a/tests/test_log_tail.py
+++ b/tests/test_log_tail.py
@@ -29,10 +29,14 @@
             TOPIC,
             self.clock,
             lambda record: self.offsets.append(record.offset),
-            self.gaps.append,
+            self.note_gap,
             random.Random(1),
         )
 
+    def note_gap(self, n_expired: int) -> None:
+        assert not self.tail.is_caught_up
+        self.gaps.append(n_expired)
+
 
 def run_with_tail(scenario: Callable[[TailRig], Awaitable[None]]) -> None:
     async def run() -> None:
