--- a/src/pomelothread/log/ledger.py
+++ b/src/pomelothread/log/ledger.py
@@ -114,6 +114,7 @@
     """
 
     __slots__ = (
+        "_gone",
         "_holders",
         "_latest",
         "entries",
@@ -130,6 +131,7 @@
         # One object for each claimant, since each holds many keys.
         self._holders: dict[ClaimantId, ClaimantId] = {}
         self._latest: dict[str, ClaimantId] = {}
+        self._gone: set[ClaimantId] = set()
 
     def apply(self, record: LogRecord) -> list[bytes]:
         """Fold one record of the log.
@@ -184,6 +186,8 @@
 
     def is_replaced(self, holder: ClaimantId) -> bool:
         """Whether a later run of the holder's instance has been seen."""
+        if holder in self._gone:
+            return True
         latest = self._latest.get(holder.instance)
         return latest is not None and _is_later(latest, holder)
 
@@ -265,6 +269,8 @@
     def _fold_carried(self, carried: Carried, now_ms: int) -> None:
         if carried.expires_at_ms <= now_ms:
             return
+        if carried.holder_is_gone:
+            self._gone.add(self._intern(carried.holder))
         state = KeyState.ABANDONED if carried.abandoned else KeyState.CLAIMED
         claim = (carried.attempt, carried.origin)
         entry = self._outranked(carried.key_digest, *claim, now_ms)
