--- a/src/pomelothread/operators/command.py
+++ b/src/pomelothread/operators/command.py
@@ -224,10 +224,11 @@
     (0, 'nothing to publish: version 41 in force has the same rows')
     """
     match outcome:
-        case Published(version, digest, offset, n_changes, superseded_by):
+        case Published(version, digest, offset, n_put, n_removed, superseded_by):
             text = (
                 f"published: version {version} is in force from offset {offset} "
-                f"({n_changes} changed rows, digest {digest})"
+                f"(rows added or changed: {n_put}, removed: {n_removed}, "
+                f"digest {digest})"
             )
             if superseded_by:
                 text += f"; version {superseded_by} has replaced it since"
--- a/src/pomelothread/operators/deltas.py
+++ b/src/pomelothread/operators/deltas.py
@@ -39,12 +39,13 @@
     put: RowsPut = RowsPut()
     removed: RowsRemoved = RowsRemoved()
 
-    def n_changes(self) -> int:
-        """Count the rows put and removed."""
-        return sum(
-            len(getattr(self.put, c)) + len(getattr(self.removed, c))
-            for c in COLLECTIONS
-        )
+    def n_put(self) -> int:
+        """Count the rows that are new or changed."""
+        return sum(len(getattr(self.put, c)) for c in COLLECTIONS)
+
+    def n_removed(self) -> int:
+        """Count the rows that are removed."""
+        return sum(len(getattr(self.removed, c)) for c in COLLECTIONS)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pomelothread/operators/publishing.py
+++ b/src/pomelothread/operators/publishing.py
@@ -33,7 +33,8 @@
     version: int
     digest: str
     offset: int
-    n_changes: int
+    n_put: int
+    n_removed: int
     superseded_by: int = 0
 
 
@@ -296,7 +297,8 @@
                 record.version,
                 record.digest,
                 change.offset,
-                record.delta().n_changes(),
+                record.delta().n_put(),
+                record.delta().n_removed(),
                 latest if latest > record.version else 0,
             )
     for change in reader.changes:
