--- a/src/pomelothread/upstreams/load_report.py
+++ b/src/pomelothread/upstreams/load_report.py
@@ -122,7 +122,15 @@
         What was wrong with the last poll, or "".
     """
 
-    __slots__ = ("_client", "_clock", "_on_restart", "_url", "fault", "latest")
+    __slots__ = (
+        "_client",
+        "_clock",
+        "_on_restart",
+        "_started_s",
+        "_url",
+        "fault",
+        "latest",
+    )
 
     def __init__(
         self,
@@ -135,6 +143,7 @@
         self._url = url.rstrip("/") + METRICS_PATH
         self._clock = clock
         self._on_restart = on_restart
+        self._started_s: float | None = None
         self.latest: LoadReport | None = None
         self.fault = ""
 
@@ -176,9 +185,10 @@
         return parse_load_report(text, self._clock.monotonic_s())
 
     def _use(self, report: LoadReport) -> None:
-        before = self.latest
         self.latest = report
-        if before is None or None in (before.started_s, report.started_s):
+        if report.started_s is None:
             return
-        if before.started_s != report.started_s:
+        # A report without a start time must not hide a restart.
+        before_s, self._started_s = self._started_s, report.started_s
+        if before_s is not None and before_s != report.started_s:
             self._on_restart()
