End the evaluation's slowdowns inside a step

Cause: a step that began while an engine was slow ran at a tenth of the speed to its end, up to 3.4 s for a slowdown of 0.5 s, so checks took up to 18 s. Change: the part of the step after the slowdown runs at full speed.

--- a/tools/evaluate_policy.py
+++ b/tools/evaluate_policy.py
@@ -78,7 +78,7 @@
         self.running: list[Request] = []
         self.cached: list[int] = []
         self.service_s = self.prefill_rate = 0.0
-        self.is_slow = self.is_stepping = False
+        self.slow_until_s, self.is_stepping = 0.0, False
 
     def view(self) -> routing.AgentView:
         """Report the load, as it is heard after the lag."""
@@ -152,7 +152,9 @@
         chunk = min([CHUNK, *(r.prefill_left for r in filling)])
         n_gaps = 1.0 + 0.04 * len(decoding) if decoding else 0.0
         n_gaps += chunk / PREFILL_PER_GAP if filling else 0.0
-        step_s = n_gaps * self.gap_s * (10.0 if self.is_slow else 1.0)
+        work_s = n_gaps * self.gap_s
+        slow_s = max(0.0, self.slow_until_s - self.sim.now_s)
+        step_s = min(10.0 * work_s, slow_s + max(0.0, work_s - slow_s / 10.0))
         self.sim.at(step_s, partial(self.end_step, decoding, filling, chunk, step_s))
 
     def end_step(
@@ -247,9 +249,8 @@
 
     def slow_down(self, agent: Agent) -> None:
         """Slow an engine down for a moment, a fifth of the time."""
-        agent.is_slow = not agent.is_slow
-        length_s = self.rng.uniform(0.5, 2.0) * (1 if agent.is_slow else 4)
-        self.at(length_s, partial(self.slow_down, agent))
+        agent.slow_until_s = self.now_s + self.rng.uniform(0.5, 2.0)
+        self.at(5.0 * self.rng.uniform(0.5, 2.0), partial(self.slow_down, agent))
 
     def arrive(self) -> None:
         """Create a request, admit and offer it, and plan the next arrival."""
