Add seeded fault trials on the whole path, and a naive scheduler

Nothing ran the real processes while parts of them failed. A trial sends a mixed load, injects one or two faults of a table at chosen events, restores the deployment and compares the receivers' journals with what callers were told.

--- /dev/null
+++ b/tools/fault_checks.py
@@ -0,0 +1,254 @@
+"""The verdicts of a trial, from what receivers counted and callers were told."""
+
+import json
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Iterator
+
+import msgspec
+
+from fault_cases import FAULTS, LEAVING_S, Trial
+from fault_load import (
+    CROSSED,
+    CUT,
+    INCOMPLETE,
+    LOST,
+    NOT_ACCEPTED,
+    NOT_KNOWN,
+    NOT_RUN,
+    RUN,
+    UNTOLD,
+    Told,
+)
+from fault_world import Received, World
+
+# Name of each check, in the order of the table.
+CHECKS = {
+    "dispatch": "double dispatches",
+    "order": "double runs of an order",
+    "lost order": "accepted orders that were lost",
+    "not run": 'untrue "not run" answers',
+    "stop": "cut during planned stops",
+    "crossed": "crossed answers",
+    "incomplete": "incomplete but looked complete",
+    "untold": "no outcome told by a live entry",
+    "shed": "checks shed before lower tiers",
+    "sheet": "sheet versions that went back",
+    "leaving": "new work on a leaving instance",
+    "crash": "bodies with over 2 crashes",
+    "recovery": "not recovered after the fault",
+    "failure-free": "not run without a fault",
+}
+
+Violation = tuple[str, str]
+
+MAX_CRASHES = 2
+# A grant that was made before the floor was raised may still be used.
+GRANT_USE_S = 0.1
+# The claim of an order on a slow log comes between its grant and its dispatch.
+SLOW_CLAIM_S = 4.0
+SHED_REASONS = {
+    "overloaded",
+    "deadline-passed",
+    "deadline-unreachable",
+    "no-upstream",
+    "organisation-limit",
+}
+
+
+def check_receivers(told: list[Told], lines: list[Received]) -> Iterator[Violation]:
+    """Compare what upstreams received with what callers were told.
+
+    Parameters
+    ----------
+    told : list of Told
+        All answers of a trial.
+    lines : list of Received
+        Journal lines of all upstreams.
+    """
+    by_id = Counter(
+        line.request_id
+        for line in lines
+        if line.event == "received" and line.request_id
+    )
+    for request_id, n in by_id.items():
+        if n > 1:
+            yield "dispatch", f"request {request_id} was received {n} times"
+    received: Counter[str] = Counter()
+    effects: Counter[str] = Counter()
+    by_marker: dict[str, list[Told]] = defaultdict(list)
+    for answer in told:
+        by_marker[answer.call.marker].append(answer)
+    markers = tuple(by_marker)
+    for line in lines:
+        for marker in markers:
+            if marker in f"{line.path}{line.body}" and line.request_id:
+                received[marker] += 1
+            if marker in line.body and line.event == "effect":
+                effects[marker] += 1
+    for marker, answers in by_marker.items():
+        if answers[0].call.key:
+            yield from _check_order(marker, answers, received, effects)
+        else:
+            yield from _check_request(marker, answers, received[marker])
+
+
+def _check_request(
+    marker: str, answers: list[Told], n_received: int
+) -> Iterator[Violation]:
+    n_not_run = sum(answer.outcome == NOT_RUN for answer in answers)
+    n_run = sum(answer.outcome == RUN for answer in answers)
+    detail = f"{marker} of {answers[0].call.service}: received {n_received} times"
+    if n_received > len(answers):
+        yield "dispatch", f"{detail}, sent {len(answers)} times"
+    elif n_received > len(answers) - n_not_run:
+        yield "not run", f"{detail}, {n_not_run} of {len(answers)} told not run"
+    if n_received < n_run:
+        yield "crossed", f"{detail}, {n_run} told run"
+
+
+def _check_order(
+    marker: str, answers: list[Told], received: Counter[str], effects: Counter[str]
+) -> Iterator[Violation]:
+    outcomes = [f"{answer.outcome} {answer.detail}" for answer in answers]
+    if effects[marker] > 1:
+        yield "order", f"{marker} took effect {effects[marker]} times: {outcomes}"
+    if received[marker] > 1:
+        yield "dispatch", f"{marker} was received {received[marker]} times: {outcomes}"
+    is_not_run = all(answer.outcome == NOT_RUN for answer in answers)
+    if is_not_run and received[marker]:
+        yield "not run", f"{marker} was received, but told {outcomes}"
+    runs = {answer.body for answer in answers if answer.outcome == RUN}
+    if runs and not effects[marker]:
+        yield "lost order", f"{marker} was told to have run, but did not"
+    if len(runs) > 1:
+        yield "crossed", f"{marker} got different responses: {sorted(runs)}"
+
+
+def check_answers(trial: Trial) -> Iterator[Violation]:
+    """Check the answers by themselves.
+
+    Parameters
+    ----------
+    trial : Trial
+        After its load has ended.
+    """
+    told = trial.callers.told
+    is_planned = all(FAULTS[name].is_planned for name in trial.faults)
+    kills_entry = any(FAULTS[name].victims == "entry" for name in trial.faults)
+    for answer in told:
+        what = f"{answer.call.marker} of {answer.call.service}: {answer.detail}"
+        match answer.outcome:
+            case outcome if outcome == CROSSED:
+                yield "crossed", what
+            case outcome if outcome == INCOMPLETE:
+                yield "incomplete", what
+            case outcome if outcome == UNTOLD:
+                yield "untold", what
+            case outcome if outcome == LOST and not kills_entry:
+                yield "untold", what
+        if answer.detail == "order-running":
+            continue
+        if is_planned and answer.outcome in {CUT, LOST, NOT_KNOWN, NOT_ACCEPTED}:
+            yield "stop", f"{answer.outcome}: {what}"
+        if trial.faults == ("none",) and answer.outcome != RUN:
+            yield "failure-free", f"{answer.outcome}: {what}"
+    if trial.n_crashes > MAX_CRASHES:
+        yield "crash", f"the body killed {trial.n_crashes} engines"
+    yield from trial.violations
+
+
+def check_shedding(trial: Trial, lines: list[Received]) -> Iterator[Violation]:
+    """Find lower-tier work that waited while a check was shed, and ran later."""
+    slack_s = GRANT_USE_S
+    if any(name.startswith(("log", "pause")) for name in trial.faults):
+        slack_s = SLOW_CLAIM_S
+    dispatched_at_s: dict[str, float] = {}
+    for line in lines:
+        if line.event == "received":
+            dispatched_at_s.setdefault(_marker(line), line.at_s)
+    for shed in trial.callers.told:
+        if shed.outcome != NOT_RUN or shed.detail not in SHED_REASONS or shed.call.rank:
+            continue
+        for kept in trial.callers.told:
+            if kept.call.pool != shed.call.pool or kept.call.rank <= shed.call.rank:
+                continue
+            at_s = dispatched_at_s.get(kept.call.marker, 0.0)
+            if kept.started_at_s < shed.ended_at_s < at_s - slack_s:
+                yield (
+                    "shed",
+                    f"{shed.call.marker} was shed ({shed.detail}) "
+                    f"{at_s - shed.ended_at_s:.2f} s before {kept.call.marker} ran",
+                )
+
+
+def _marker(line: Received) -> str:
+    if line.method == "GET":
+        return line.path.rpartition("/")[2]
+    try:
+        body = json.loads(line.body)
+    except ValueError:
+        return ""
+    if "marker" in body:
+        return str(body["marker"])
+    return str(body.get("messages", [{}])[-1].get("content", "")).partition(" ")[0]
+
+
+def check_leaving(trial: Trial, lines: list[Received]) -> Iterator[Violation]:
+    """Find work that reached an instance long after it was shown as leaving."""
+    for instance, shown_at_s, until_s in trial.leaving:
+        for line in lines:
+            is_new = shown_at_s + LEAVING_S < line.at_s < until_s
+            if line.upstream == instance and line.request_id and is_new:
+                late_s = line.at_s - shown_at_s
+                yield "leaving", f"{instance} got work {late_s:.1f} s after it left"
+
+
+def check_sheet_logs(world: World, seen: dict[str, int]) -> Iterator[Violation]:
+    """Find a process whose sheet went back, or that became ready with an old one.
+
+    Parameters
+    ----------
+    world : World
+        The deployment; its nodes write their log events to files.
+    seen : dict of str to int
+        Length of each file that has been checked already; updated.
+    """
+    for name, node in world.launcher.nodes.items():
+        path = node.program.log_path
+        if not path.exists():
+            continue
+        with path.open("rb") as file:
+            events = file.read()
+        yield from _check_versions(name, events, seen.get(name, 0))
+        seen[name] = len(events)
+
+
+def _check_versions(name: str, data: bytes, n_checked: int) -> Iterator[Violation]:
+    current = highest = position = 0
+    for line in data.splitlines(keepends=True):
+        position += len(line)
+        try:
+            event = msgspec.json.decode(line)
+        except msgspec.DecodeError:
+            continue
+        if not isinstance(event, dict):
+            continue
+        is_new = position > n_checked
+        number = event.get("event")
+        fields = event.get("fields") or {}
+        version = int(fields.get("sheet_version", 0))
+        match number:
+            case 101 | 201:
+                current = 0
+            case 102 | 202 if version < highest and is_new:
+                yield "sheet", f"{name} became ready with {version} after {highest}"
+            case 401:
+                if version <= current and is_new:
+                    yield "sheet", f"{name} went from {current} to {version}"
+                current = version
+                highest = max(highest, version)
+
+
+def unique(violations: Iterable[Violation]) -> list[Violation]:
+    """Return violations without repetitions, in their order."""
+    return list(dict.fromkeys(violations))
--- /dev/null
+++ b/tools/fault_world.py
@@ -0,0 +1,297 @@
+"""A deployment that lives through many fault trials, and its receivers' journals."""
+
+import asyncio
+import dataclasses
+import shutil
+import signal
+import tempfile
+import time
+from collections.abc import Mapping
+from contextlib import suppress
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
+
+from deployments import DEPLOYMENTS, EXAMPLES, Deployment, EntryPlan, UpstreamPlan
+from fault_load import RUN, Call, Callers
+from launch_settings import AGENT, ENTRY, LIVE, LaunchOptions, Node
+from launcher import INSTANCE_LIST, LOG, POLL_S, Launcher
+
+PROBE_LIMIT_S = 30.0
+# The shortest that the settings accept; records older than this are deleted in
+# trials with retention, and everything needed must have been carried forward.
+RETENTION_S = 60
+
+
+class Received(msgspec.Struct, frozen=True):
+    """A line of a receiver's journal."""
+
+    event: str
+    at_s: float
+    key: str
+    body: str
+    request_id: str = ""
+    method: str = ""
+    path: str = ""
+    upstream: str = ""
+
+
+class Journal:
+    """What all upstreams received, also before they were killed."""
+
+    def __init__(self, directory: Path) -> None:
+        self._directory = directory
+        self._sizes: dict[str, int] = {}
+        self.lines: list[Received] = []
+
+    def read(self) -> list[Received]:
+        """Read what is new and return all lines."""
+        for path in self._directory.iterdir():
+            start = self._sizes.get(path.name, 0)
+            if path.stat().st_size == start:
+                continue
+            with path.open("rb") as file:
+                file.seek(start)
+                data = file.read()
+            end = data.rfind(b"\n") + 1
+            self._sizes[path.name] = start + end
+            for line in data[:end].splitlines():
+                decoded = msgspec.json.decode(line, type=Received)
+                self.lines.append(msgspec.structs.replace(decoded, upstream=path.name))
+        return self.lines
+
+
+def fault_deployment(journals: Path) -> Deployment:
+    """Return two entries, two engines and two plain services of one pool.
+
+    Parameters
+    ----------
+    journals : Path
+        Directory for the journals of the receivers.
+    """
+
+    def upstream(pool: str, number: int, domain: str, *arguments: str) -> UpstreamPlan:
+        instance = f"{pool}-{number}"
+        journal = f"--journal={journals / instance}"
+        kind = "plain" if pool == "ledger" else "model"
+        # Few places, so that requests wait.
+        return UpstreamPlan(
+            instance, pool, kind, domain, (*arguments, journal), 2, number == 1
+        )
+
+    engine = ("--models=willow-13b", "--speed=4", "--max_batch=64")
+    plain = ("--service_time_s=0.02",)
+    domains = ("midlands-1", "essex-1")
+    return Deployment(
+        "faults",
+        DEPLOYMENTS["tiny"].regions,
+        tuple(
+            upstream(pool, number, domain, *arguments)
+            for pool, arguments in (("model", engine), ("ledger", plain))
+            for number, domain in enumerate(domains, 1)
+        ),
+        tuple(EntryPlan(f"entry-{i}", domain) for i, domain in enumerate(domains, 1)),
+        EXAMPLES / "ashcombe" / "sheet.csv",
+    )
+
+
+def fault_options() -> LaunchOptions:
+    """Return the settings that the trials need."""
+    return LaunchOptions(
+        entry={"drain_accept_s": 0.3, "log_retention_s": RETENTION_S},
+        agent={"claims": {"retention_s": RETENTION_S, "confirm_timeout_s": 2.0}},
+    )
+
+
+class World:
+    """A running deployment with switches, journals and restoration.
+
+    Parameters
+    ----------
+    launcher_type : type
+        `Launcher`, or one that starts something else in its place.
+    """
+
+    def __init__(self, launcher_type: type[Launcher] = Launcher) -> None:
+        self._journals = Path(tempfile.mkdtemp(prefix="pomelothread-journals-"))
+        self.journal = Journal(self._journals)
+        self.launcher = launcher_type(fault_deployment(self._journals), fault_options())
+        self.callers = Callers(self.accepting_urls)
+        self.draining: set[str] = set()
+        self.locks = {
+            name: asyncio.Lock()
+            for name in (*self.launcher.nodes, *self.upstream_names())
+        }
+        # Orders that ran in any trial, with the response.
+        self.known_orders: dict[Call, str] = {}
+        self.checked_logs: dict[str, int] = {}
+        self._plans = {name: node.plan for name, node in self.launcher.nodes.items()}
+
+    async def __aenter__(self) -> "World":
+        await self.launcher.__aenter__()
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        await self.callers.client.aclose()
+        await self.launcher.__aexit__(*exc_info)
+        shutil.rmtree(self._journals, ignore_errors=True)
+
+    @property
+    def has_agents(self) -> bool:
+        """Whether the deployment runs the product, not the naive scheduler."""
+        return any(node.role == AGENT for node in self.launcher.nodes.values())
+
+    def names(self, role: str) -> list[str]:
+        """Return the nodes of a role."""
+        return [n for n, node in self.launcher.nodes.items() if node.role == role]
+
+    def upstream_names(self) -> list[str]:
+        """Return the upstreams, as `Launcher.signal` names them."""
+        return [f"upstream:{u.instance}" for u in self.launcher.deployment.upstreams]
+
+    def accepting_urls(self) -> list[str]:
+        """Return the entries to which the load balancer sends."""
+        return [
+            f"http://{node.http_address}"
+            for name, node in self.launcher.nodes.items()
+            if node.role == ENTRY
+            and node.program.is_running
+            and name not in self.draining
+        ]
+
+    async def switch(self, name: str, **values: Any) -> None:
+        """Change the fault switches of a stand-in."""
+        await self._call(name, "/_faults", "POST", values)
+
+    async def _call(
+        self, name: str, path: str, method: str = "GET", body: Any = None
+    ) -> Any:
+        address = self.launcher.program(f"upstream:{name}").announced["address"]
+        response = await AsyncHTTPClient().fetch(
+            HTTPRequest(
+                f"http://{address}{path}",
+                method=method,
+                body=None if body is None else msgspec.json.encode(body),
+                headers={"Content-Type": "application/json"},
+            )
+        )
+        return msgspec.json.decode(response.body) if response.body else None
+
+    async def shown_instances(self) -> list[dict[str, Any]]:
+        """Return what the instance list shows now."""
+        shown: list[dict[str, Any]] = await self._call(INSTANCE_LIST, "/instances")
+        return shown
+
+    async def terminate(self, name: str) -> int:
+        """Stop a node gracefully, until `revive`, and return its exit status."""
+        self.draining.add(name)
+        return await self.launcher.program(name).stop(PROBE_LIMIT_S)
+
+    async def revive(self, name: str) -> None:
+        """Start a process again if it has ended."""
+        program = self.launcher.program(name)
+        if program.is_running:
+            return
+        upstream = name.removeprefix("upstream:")
+        if upstream != name:
+            await self.launcher.start_standin(upstream)
+            return
+        # The load balancer sends to an entry again once it is ready.
+        self.draining.add(name)
+        try:
+            await self.launcher.start_node(name)
+            await self.launcher.list_instances()
+            await self.launcher.wait_ready(name)
+        finally:
+            self.draining.discard(name)
+
+    async def heal(self) -> str:
+        """End all faults, start what has ended, and wait until all is served.
+
+        Returns
+        -------
+        str
+            What did not recover, or "".
+        """
+        nodes = self.launcher.nodes
+        for name in (*nodes, *self.upstream_names()):
+            self.launcher.signal(name, signal.SIGCONT)
+        await self.switch(LOG, **_LOG_DEFAULTS)
+        await self._call(INSTANCE_LIST, "/_faults", "DELETE")
+        for name in self.upstream_names():
+            instance = name.removeprefix("upstream:")
+            if self.launcher.program(name).is_running:
+                await self._call(instance, "/_faults", "DELETE")
+            await self.revive(name)
+        for name, node in nodes.items():
+            node.state = LIVE
+            if node.plan != self._plans[name]:
+                await self.launcher.kill(name)
+                node.plan = self._plans[name]
+        await asyncio.gather(*(self.revive(name) for name in nodes))
+        await self.launcher.list_instances()
+        try:
+            async with asyncio.timeout(PROBE_LIMIT_S):
+                for name in nodes:
+                    await self._wait_open(name)
+                await self._wait_served()
+        except TimeoutError:
+            return f"not everything was served {PROBE_LIMIT_S:g} s after the fault"
+        return ""
+
+    async def status(self, name: str) -> Mapping[str, Any]:
+        """Return what a node says of itself; empty if it does not answer."""
+        address = self.launcher.nodes[name].http_address
+        with suppress(HTTPClientError, OSError):
+            response = await AsyncHTTPClient().fetch(f"http://{address}/control/status")
+            status: dict[str, Any] = msgspec.json.decode(response.body)
+            return status
+        return {}
+
+    async def _wait_open(self, name: str) -> None:
+        while (await self.status(name)).get("state") not in {"open", "ready"}:
+            await asyncio.sleep(POLL_S)
+
+    async def _wait_served(self) -> None:
+        """Wait until both entries get one request of each kind answered."""
+        probes = [
+            Call("stock-check", "ashcombe-shop", 0, "probe", "ledger"),
+            Call("cleft-grade", "willow-yard", 2, "probe", "model", 2),
+        ]
+        callers = Callers(self.accepting_urls)
+        try:
+            for entry in range(len(self.names(ENTRY))):
+                for probe in probes:
+                    call = dataclasses.replace(probe, entry=entry)
+                    while (await callers.send(call)).outcome != RUN:
+                        await asyncio.sleep(POLL_S)
+                while (await callers.send(_order_probe(entry))).outcome != RUN:
+                    await asyncio.sleep(POLL_S)
+        finally:
+            await callers.client.aclose()
+
+    def replace_agent(self, name: str, instance: str) -> Node:
+        """Let the next start of an agent's slot run as another instance."""
+        node = self.launcher.nodes[name]
+        self.launcher.standins[instance] = self.launcher.standins[name]
+        node.plan = dataclasses.replace(node.plan, instance=instance)
+        return node
+
+
+def _order_probe(entry: int) -> Call:
+    key = f"probe-{time.monotonic_ns()}"
+    return Call("bulk-order", "malvern-schools", 1, key, "ledger", key=key, entry=entry)
+
+
+_LOG_DEFAULTS: dict[str, Any] = {
+    "down": False,
+    "refuse_appends": False,
+    "refuse_reads": False,
+    "lose_append_answers": False,
+    "delay_s": 0.0,
+    "delay_answer_s": 0.0,
+    "retention_s": None,
+    "hang": False,
+}
--- /dev/null
+++ b/tools/faults.py
@@ -0,0 +1,117 @@
+"""Runs seeded fault trials on whole deployments and prints all verdicts.
+
+``python -m faults --seed=1 --trials=1000`` exits with 1 if any check found a
+violation; ``--only=K`` replays one trial, and ``--naive`` runs the load against
+a naive scheduler, which must fail.
+"""
+
+import asyncio
+import sys
+import time
+from collections import Counter
+from collections.abc import Sequence
+from itertools import combinations
+
+from absl import app, flags, logging
+
+from fault_cases import FAULTS
+from fault_checks import CHECKS
+from fault_trials import (
+    TrialPlan,
+    TrialResult,
+    count_violations,
+    plan_trial,
+    run_trials,
+)
+from launcher import Launcher
+from naive_proxy import NaiveLauncher
+
+MAX_WORLDS = 5
+PAIRS_PER_LINE = 3
+
+
+def print_result(result: TrialResult) -> None:
+    """Print the violations of a trial and how to replay it."""
+    plan = result.plan
+    for check, detail in result.violations:
+        print(
+            f"VIOLATION --seed={plan.seed} --only={plan.number} "
+            f"({' + '.join(plan.faults)}): {check}: {detail}",
+            flush=True,
+        )
+
+
+def print_tables(results: list[TrialResult]) -> None:
+    """Print the number of trials of each fault and pair, and all verdicts."""
+    alone: Counter[str] = Counter()
+    paired: Counter[str] = Counter()
+    pairs: Counter[tuple[str, ...]] = Counter()
+    outcomes: Counter[str] = Counter()
+    for result in results:
+        faults = result.plan.faults
+        outcomes.update(result.outcomes)
+        if len(faults) == 1:
+            alone[faults[0]] += 1
+            continue
+        paired.update(faults)
+        pairs.update(tuple(sorted(pair)) for pair in combinations(faults, 2))
+    print(f"\n{'fault':18} {'alone':>6} {'in a pair':>10}")
+    for name in FAULTS:
+        if alone[name] or paired[name]:
+            print(f"{name:18} {alone[name]:6} {paired[name]:10}")
+    if pairs:
+        print(f"\n{len(pairs)} pairs, with the number of trials:")
+        texts = [f"{' + '.join(pair)}: {n}" for pair, n in sorted(pairs.items())]
+        for start in range(0, len(texts), PAIRS_PER_LINE):
+            print("; ".join(texts[start : start + PAIRS_PER_LINE]))
+    print("\nanswers: " + ", ".join(f"{n} {name}" for name, n in outcomes.items()))
+    violations = count_violations(results)
+    print(f"\n{'check':34} {'violations':>10}")
+    for check, text in CHECKS.items():
+        print(f"{text:34} {violations[check]:10}")
+
+
+def choose_plans(
+    seed: int, n_trials: int, only: int, is_naive: bool
+) -> list[TrialPlan]:
+    """Return the trials that the command line asks for."""
+    numbers = [only] if only >= 0 else list(range(n_trials))
+    return [plan_trial(seed, number, is_naive) for number in numbers]
+
+
+def main(argv: Sequence[str]) -> int:
+    """Run the trials; return 1 if a check found a violation."""
+    if len(argv) > 1:
+        raise app.UsageError(f"unexpected arguments {argv[1:]}")
+    # The clients log a line for each request at the level "info".
+    logging.set_verbosity(logging.WARNING)
+    values = flags.FLAGS
+    plans = choose_plans(values.seed, values.trials, values.only, values.naive)
+    started_s = time.monotonic()
+    results = asyncio.run(
+        run_trials(
+            plans,
+            values.deployments,
+            NaiveLauncher if values.naive else Launcher,
+            print_result,
+        )
+    )
+    print_tables(results)
+    n_violations = sum(count_violations(results).values())
+    duration_s = time.monotonic() - started_s
+    print(
+        f"\nseed {values.seed}: {len(results)} trials in {duration_s:.0f} s on "
+        f"{values.deployments} deployments, {n_violations} violations"
+    )
+    return 1 if n_violations else 0
+
+
+if __name__ == "__main__":
+    flags.DEFINE_integer("seed", 1, "seed of all choices")
+    flags.DEFINE_integer("trials", 1000, "number of trials", lower_bound=1)
+    flags.DEFINE_integer("only", -1, "number of the one trial to run")
+    flags.DEFINE_boolean("naive", False, "run against the naive scheduler")
+    flags.DEFINE_integer(
+        "deployments", MAX_WORLDS, "deployments at the same time", 1, MAX_WORLDS
+    )
+    sys.exit(app.run(main))
--- a/tools/standins/engine.py
+++ b/tools/standins/engine.py
@@ -53,6 +53,7 @@
 flags.DEFINE_enum(
     "fencing", "enforce", ["enforce", "ignore"], "fencing tokens", flag_values=FLAGS
 )
+flags.DEFINE_string("journal", "", "file for what arrives", flag_values=FLAGS)
 flags.DEFINE_float("load_s", 0.05, "duration of a load", flag_values=FLAGS)
 
 
@@ -368,6 +369,7 @@
     engine = start_engine(
         settings, FLAGS.port, FLAGS.models, FLAGS.fencing == "enforce", FLAGS.load_s
     )
+    engine.counts.open_journal(FLAGS.journal)
     announce(address=engine.address, cache_events=engine.publisher.address)
     await engine.tasks[0]
 
--- a/tools/standins/plain_service.py
+++ b/tools/standins/plain_service.py
@@ -37,6 +37,7 @@
 FLAGS = flags.FlagValues()
 flags.DEFINE_integer("port", 0, "port, 0 for any free one", flag_values=FLAGS)
 flags.DEFINE_float("service_time_s", 0.005, "time of a request", flag_values=FLAGS)
+flags.DEFINE_string("journal", "", "file for what arrives", flag_values=FLAGS)
 flags.DEFINE_integer("n_workers", 4, "requests at the same time", flag_values=FLAGS)
 
 
@@ -71,6 +72,7 @@
         }
         self.orders.append(order)
         self.runs_by_key[key] += 1
+        self.counts.write_journal(event="effect", key=key, body=text)
         self.runs_by_body[text] += 1
         return order
 
@@ -253,6 +255,7 @@
 
 async def _serve() -> None:
     service = start_plain_service(FLAGS.service_time_s, FLAGS.n_workers, FLAGS.port)
+    service.counts.open_journal(FLAGS.journal)
     announce(address=service.address)
     await asyncio.get_running_loop().create_future()
 
--- a/tools/standins/serving.py
+++ b/tools/standins/serving.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import json
+import os
 import sys
+import time
 from collections import Counter
 from collections.abc import Awaitable, Sequence
 from dataclasses import asdict, dataclass, field, fields
@@ -102,7 +104,11 @@
 
 @dataclass(slots=True)
 class Counts:
-    """What the receiver saw, for tests that count there."""
+    """What the receiver saw, for tests that count there.
+
+    With a journal, each request that arrives is also appended to a file before
+    anything else happens, so that a receiver that is killed loses no count.
+    """
 
     received: Counter[str] = field(default_factory=Counter)
     n_received: int = 0
@@ -111,6 +117,19 @@
     n_completed: int = 0
     n_cancelled: int = 0
     cancelled_ids: list[str] = field(default_factory=list)
+    journal_fd: int | None = None
+
+    def open_journal(self, path: str) -> None:
+        """Append what arrives to a file as JSON lines; "" for none."""
+        if path:
+            flags = os.O_WRONLY | os.O_APPEND | os.O_CREAT
+            self.journal_fd = os.open(path, flags, 0o600)
+
+    def write_journal(self, **values: Any) -> None:
+        """Append one line, if there is a journal."""
+        if self.journal_fd is not None:
+            line = json.dumps({"at_s": time.time(), **values}) + "\n"
+            os.write(self.journal_fd, line.encode())
 
     def start(self, request_id: str) -> None:
         """Count a request that has arrived."""
@@ -186,6 +205,14 @@
         """Count the request."""
         self.faults = self.faults.for_request()
         self.counts.start(self.request_id)
+        self.counts.write_journal(
+            event="received",
+            request_id=self.request_id,
+            method=self.request.method,
+            path=self.request.path,
+            key=self.request.headers.get("Idempotency-Key", ""),
+            body=self.request.body.decode("utf-8", "replace"),
+        )
 
     def on_connection_close(self) -> None:
         """Tell the running request that its caller has gone."""
