--- a/tools/fault_cases.py
+++ b/tools/fault_cases.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass, field, replace
 from typing import Any
 
+from msgspec import structs
+
 from fault_load import NOT_RUN, RUN, Call, Callers
 from fault_world import RETENTION_S, World
 from launch_settings import AGENT, ENTRY, LEAVING, LIVE
@@ -265,13 +267,13 @@
     )
 
     def order(operator: str, share: int) -> PublishOrder:
-        organisation = replace(sheet.organisations["willow-yard"], share=share)
+        organisation = structs.replace(sheet.organisations["willow-yard"], share=share)
         rows = sheet.organisations | {"willow-yard": organisation}
-        changed = replace(sheet, organisations=rows)
+        changed = structs.replace(sheet, organisations=rows)
         return PublishOrder(changed, base, operator, uuid.uuid4().hex, 10.0)
 
     try:
-        orders = (order("first", 2 + trial.number), order("second", 3 + trial.number))
+        orders = (order("first", 2 + trial.number % 50), order("second", 52))
         outcomes = await asyncio.gather(
             *(publish_sheet(log, SystemClock(), order) for order in orders)
         )
--- a/tools/fault_world.py
+++ b/tools/fault_world.py
@@ -162,8 +162,9 @@
         ]
 
     async def switch(self, name: str, **values: Any) -> None:
-        """Change the fault switches of a stand-in."""
-        await self._call(name, "/_faults", "POST", values)
+        """Change the fault switches of a stand-in, unless it is dead."""
+        with suppress(HTTPClientError, OSError):
+            await self._call(name, "/_faults", "POST", values)
 
     async def _call(
         self, name: str, path: str, method: str = "GET", body: Any = None
@@ -222,8 +223,10 @@
         await self._call(INSTANCE_LIST, "/_faults", "DELETE")
         for name in self.upstream_names():
             instance = name.removeprefix("upstream:")
-            if self.launcher.program(name).is_running:
+            try:
                 await self._call(instance, "/_faults", "DELETE")
+            except (HTTPClientError, OSError):
+                await self.launcher.kill(name)
             await self.revive(name)
         for name, node in nodes.items():
             node.state = LIVE
