--- a/src/pomelothread/entry/process.py
+++ b/src/pomelothread/entry/process.py
@@ -91,8 +91,7 @@
         self._offers = Offers(
             self.incarnation, self._channel, self._agents, self._waiting, clock
         )
-        # Every waiting or running request may need one exchange.
-        self._client = ExchangeClient(max_exchanges=2 * settings.max_waiting)
+        self._client = ExchangeClient(max_exchanges=settings.max_running)
         self._attempts = Attempts(
             self.incarnation, self._channel, self._agents, self._client, clock
         )
@@ -131,7 +130,7 @@
         source = StatusSource(
             self.status, self.is_ready, self._replica.snapshot, self._metrics
         )
-        routes: list[Any] = caller_routes(self._scheduler) + status_routes(source)
+        routes: list[Any] = [*status_routes(source), *caller_routes(self._scheduler)]
         server, http_address = listen_http(routes, self._settings.http_address)
         log_event(
             _logger,
