Convict a fatal request after two crashes while the log is down

Cause: agents hear of each other's crashes from the log only. While it hung, the second agent ran the suspect alone at an entry's word, but took its crash for the first one, so a third engine died. Its caller could also repeat the request within the 0.5 s between two heartbeats, before the entries knew. Ruled out: lost crash records (they are appended after the outage) and a wrong probation (the request did run alone). Change: an agent takes a solo offer as the entry's word that the request is a suspect; it sends a heartbeat at once after a crash, and tells the caller only then, or after 0.15 s.

--- a/src/pomelothread/agent/crash_reports.py
+++ b/src/pomelothread/agent/crash_reports.py
@@ -1,19 +1,23 @@
 """Finding out whether the upstream died, and telling the fleet what it ran."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
 from returns.result import Success
 
 from ..clock import Clock
 from ..log.records import LogClient, LogRecord
+from ..peers.waiting import wait_at_most
 from ..policy.crashes import CRASH_TOPIC, CrashBook
 
 # A process that died refuses connections at once; one that only closed a
 # connection accepts new ones. The looks cover a port that is still closing.
 N_PROBES = 5
 PROBE_PERIOD_S = 0.1
+# Covers two looks. The first one finds a dead process; the answer about a
+# connection that was closed by a live one is this much later.
+VERDICT_WAIT_S = 0.15
 MIN_APPEND_DELAY_S = 0.5
 MAX_APPEND_DELAY_S = 30.0
 
@@ -31,9 +35,21 @@
         Source of time.
     is_dead : callable
         Returns whether the upstream refuses connections now.
+    tell_entries : callable
+        Sends a heartbeat at once. Its caller may repeat a fatal request within
+        the 0.5 s between two heartbeats, and while the log is down nothing else
+        tells the entries.
     """
 
-    __slots__ = ("_clock", "_crashes", "_is_dead", "_log", "_pending", "_tasks")
+    __slots__ = (
+        "_clock",
+        "_crashes",
+        "_is_dead",
+        "_log",
+        "_probing",
+        "_tasks",
+        "_tell_entries",
+    )
 
     def __init__(
         self,
@@ -41,17 +57,23 @@
         log: LogClient,
         clock: Clock,
         is_dead: Callable[[], Awaitable[bool]],
+        tell_entries: Callable[[], None],
     ) -> None:
         self._crashes = crashes
         self._log = log
         self._clock = clock
         self._is_dead = is_dead
-        self._pending: list[str] | None = None
+        self._tell_entries = tell_entries
+        self._probing: asyncio.Task[None] | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
-    def connection_cut(self, running: list[str]) -> None:
+    async def connection_cut(self, running: list[str]) -> None:
         """Take in that the upstream closed a connection early.
 
+        Returns once it is known whether the upstream died, or after
+        `VERDICT_WAIT_S`. A caller that is told before entries know could have
+        its fatal request run on another engine by repeating it at once.
+
         Parameters
         ----------
         running : list of str
@@ -59,10 +81,9 @@
             of a crash sees all of them, so later ones are ignored while the
             upstream is being probed.
         """
-        if self._pending is not None:
-            return
-        self._pending = list(running)
-        self._keep(self._probe())
+        if self._probing is None:
+            self._probing = self._keep(self._probe(running))
+        await wait_at_most(self._probing, self._clock, VERDICT_WAIT_S)
 
     def append(self, record: dict[str, Any]) -> None:
         """Append a record in the background until it is on the log."""
@@ -72,25 +93,26 @@
         """Take in a record of any agent."""
         self._crashes.fold(record.value)
 
-    def _keep(self, coroutine: Any) -> None:
+    def _keep(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
 
-    async def _probe(self) -> None:
+    async def _probe(self, running: list[str]) -> None:
         try:
             for _ in range(N_PROBES):
                 if await self._is_dead():
-                    self._report()
+                    self._report(running)
                     return
                 await self._clock.sleep(PROBE_PERIOD_S)
         finally:
-            self._pending = None
+            self._probing = None
 
-    def _report(self) -> None:
-        assert self._pending is not None
+    def _report(self, running: list[str]) -> None:
         now_s = self._clock.monotonic_s()
-        verdict = self._crashes.engine_died(self._pending, now_s)
+        verdict = self._crashes.engine_died(running, now_s)
+        self._tell_entries()
         if verdict.record is not None:
             self.append(verdict.record)
 
--- a/src/pomelothread/agent/dispatcher.py
+++ b/src/pomelothread/agent/dispatcher.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -140,7 +140,8 @@
         Sends the control messages that follow from a freed place.
     on_cut : callable
         Called with the fingerprints that were running when the upstream closed
-        a connection early, so that it can be found out whether it died.
+        a connection early, and awaited before the caller is told: it finds out
+        whether the upstream died.
     """
 
     def __init__(
@@ -154,7 +155,7 @@
         tracer: Tracer,
         rates: Rates,
         send_replies: Callable[[list[Reply]], None],
-        on_cut: Callable[[list[str]], None],
+        on_cut: Callable[[list[str]], Awaitable[None]],
     ) -> None:
         self._grants = grants
         self._orders = orders
@@ -256,6 +257,14 @@
         if self._crashes.is_convicted(running.fingerprint):
             detail = "An identical request has crashed upstreams; it did not run."
             return NotRun(Reason.CONVICTED, detail)
+        if running.offer.solo:
+            # While the log is down, agents hear of each other's crashes from
+            # entries only. Otherwise this one would take a crash for the first
+            # of its body, and a third engine would have to die to convict it.
+            now_s = self._clock.monotonic_s()
+            self._crashes.observe_peer(
+                (running.fingerprint,), (), self.sheet.version, now_s
+            )
         alone = self._crashes.must_run_alone(running.fingerprint)
         if alone and not running.offer.solo:
             return NotDispatched(MUST_RUN_ALONE)
@@ -337,7 +346,7 @@
             case NotConnected() | Cancelled(was_sent=False):
                 return NotDispatched(UPSTREAM_DOWN)
             case LostBeforeHead():
-                self._cut(running)
+                await self._cut(running)
                 return NotKnown(Reason.ANSWER_LOST, "The upstream's answer was lost.")
             case _:
                 return NotKnown(Reason.ANSWER_LOST, "The request was cancelled.")
@@ -353,7 +362,7 @@
             self._grants.limit.observe_success(len(self._running), now_s)
             return Run(head.status, tuple(headers), body)
         if not isinstance(body, Cancelled):
-            self._cut(running)
+            await self._cut(running)
         return NotKnown(Reason.ANSWER_LOST, "The upstream's answer was cut.")
 
     async def _stream(
@@ -389,7 +398,7 @@
             case Cancelled():
                 sink.abort()
             case _:
-                self._cut(running)
+                await self._cut(running)
                 sink.abort()
 
     def _is_order(self, dispatch: Dispatch, service: Service) -> bool:
@@ -401,8 +410,8 @@
         if record is not None:
             self._orders.append_crash_record(record)
 
-    def _cut(self, running: RunningRequest) -> None:
-        self._on_cut([other.fingerprint for other in self._running.values()])
+    async def _cut(self, running: RunningRequest) -> None:
+        await self._on_cut([other.fingerprint for other in self._running.values()])
 
 
 async def wait_until_idle(grants: Grants, clock: Clock, poll_s: float) -> None:
--- a/src/pomelothread/agent/process.py
+++ b/src/pomelothread/agent/process.py
@@ -126,7 +126,11 @@
             self._client, settings.upstream.url, clock, on_restart=self._update_state
         )
         self._reports = CrashReports(
-            self._crashes, self._log, clock, self._health.refuses_connections
+            self._crashes,
+            self._log,
+            clock,
+            self._health.refuses_connections,
+            self._send_beats,
         )
         self._orders = Orders(
             self._claimant,
@@ -270,11 +274,14 @@
         """Send heartbeats to all entries that have been heard."""
         while True:
             self._forget_silent_entries()
-            beat = self._agent_beat()
-            for inbox, _ in self._entries.values():
-                self._channel.send(inbox, beat)
+            self._send_beats()
             await self._clock.sleep(BEAT_PERIOD_S)
 
+    def _send_beats(self) -> None:
+        beat = self._agent_beat()
+        for inbox, _ in self._entries.values():
+            self._channel.send(inbox, beat)
+
     async def _watch_places(self) -> None:
         """Expire grants and notice a stalled upstream."""
         limit = self._grants.limit
@@ -410,9 +417,7 @@
         else:
             replies = self._grants.close(state)
         self._send_replies(replies)
-        beat = self._agent_beat()
-        for inbox, _ in self._entries.values():
-            self._channel.send(inbox, beat)
+        self._send_beats()
 
     def _wanted_state(self) -> str:
         instance = self._settings.node.instance
--- a/tests/test_policy_crashes.py
+++ b/tests/test_policy_crashes.py
@@ -150,3 +150,14 @@
             reader.fold(record)
         assert set(reader.suspects) == set(writer.suspects)
         assert reader.convicted == writer.convicted
+
+
+def test_a_suspect_that_only_an_entry_knew_is_convicted_by_its_second_crash():
+    # With the log down, agents do not hear of each other's crashes: a body
+    # killed a third engine before it was convicted.
+    book = CrashBook("agent-2")
+    book.observe_peer(("a",), (), sheet_version=1, now_s=0.0)
+    assert book.must_run_alone("a")
+    assert book.suspects == ()
+    assert book.engine_died(["a"], 1.0).convicted == ("a",)
+    assert book.convicted == ("a",)
--- a/tools/fault_cases.py
+++ b/tools/fault_cases.py
@@ -305,7 +305,6 @@
                 break
             if told.outcome == RUN:
                 break
-            await asyncio.sleep(0.1)
     finally:
         for task in supervisors:
             task.cancel()
