--- /dev/null
+++ b/tools/bench_plot.py
@@ -0,0 +1,54 @@
+"""Plot of the swing by tier over time."""
+
+from collections.abc import Mapping, Sequence
+from pathlib import Path
+
+import matplotlib as mpl
+
+from bench_load import Answer
+
+mpl.use("Agg")
+
+from matplotlib import pyplot as plt  # noqa: E402
+
+
+def plot_swing(
+    deployment: str, swings: Mapping[str, Sequence[Answer]], path: Path
+) -> None:
+    """Draw offered and good requests by the second in which they were due.
+
+    Parameters
+    ----------
+    deployment : str
+        Name for the title.
+    swings : mapping of str to sequence of Answer
+        Answers by policy.
+    path : Path
+        PNG file to write.
+    """
+    tiers = sorted({a.request.tier for answers in swings.values() for a in answers})
+    figure, axes = plt.subplots(
+        len(tiers), len(swings), sharex=True, sharey="row", squeeze=False
+    )
+    figure.set_size_inches(5 * len(swings), 2 * len(tiers))
+    for column, (policy, answers) in enumerate(swings.items()):
+        for row, tier in enumerate(tiers):
+            own = [a for a in answers if a.request.tier == tier]
+            seconds = range(int(max(a.request.at_s for a in answers)) + 1)
+            offered = [sum(int(a.request.at_s) == s for a in own) for s in seconds]
+            good = [
+                sum(int(a.request.at_s) == s and a.is_good for a in own)
+                for s in seconds
+            ]
+            plot = axes[row][column]
+            plot.step(seconds, offered, where="post", label="offered")
+            plot.fill_between(seconds, good, step="post", alpha=0.4, label="in time")
+            plot.set_title(f"{policy}: {tier}")
+            plot.set_ylabel("requests / s")
+    axes[0][0].legend()
+    for plot in axes[-1]:
+        plot.set_xlabel("due, seconds from the start")
+    figure.suptitle(f"{deployment}: swing to three times the capacity")
+    figure.tight_layout()
+    figure.savefig(path)
+    plt.close(figure)
--- /dev/null
+++ b/tools/bench_rig.py
@@ -0,0 +1,264 @@
+"""The processes of the benchmark, their capacity and their counters."""
+
+import asyncio
+import random
+from collections import Counter
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+import msgspec
+import psutil
+from tornado.httpclient import AsyncHTTPClient
+
+from bench_load import RequestMaker, send
+from deployments import DEPLOYMENTS, Deployment, UpstreamPlan
+from launch_settings import ENTRY, LaunchOptions
+from launcher import Launcher
+from pomelothread.operators.planning import parse_sheet
+from pomelothread.peers.http_exchange import ExchangeClient
+from processes import Program
+
+POMELO = "pomelo"
+NAIVE = "naive"
+POLICIES = (POMELO, NAIVE)
+
+# An operator sets the bound of the places to what the upstream runs at once. Eight
+# keep the time between tokens of the slowest engine under its target of 41 ms.
+N_PLACES = 8
+ENGINE_ARGUMENTS = (f"--max_batch={N_PLACES}", "--n_blocks=1024")
+# Slow enough that three times the capacity of a pool is a few hundred requests a
+# second, which the processes of one machine can carry.
+PLAIN_ARGUMENTS = (f"--n_workers={N_PLACES}", "--service_time_s=0.2")
+# Answers of most tiers at a threefold load are waited for all at once.
+MAX_EXCHANGES = 4000
+
+CALIBRATION_WARM_S = 2.0
+CALIBRATION_S = 5.0
+
+_CONTROL_PREFIX = "pomelothread_control_"
+
+
+@dataclass(slots=True)
+class Sample:
+    """Counters at one time.
+
+    Parameters
+    ----------
+    states : dict of str to Counter
+        What each upstream counted.
+    control : dict of str to dict
+        Control bytes ``sent`` and ``received`` by node.
+    processes : dict of str to dict
+        Role, processor time and memory by name.
+    """
+
+    states: dict[str, "Counter[str]"]
+    control: dict[str, dict[str, float]]
+    processes: dict[str, dict[str, Any]] = field(default_factory=dict)
+
+    def control_since(self, earlier: "Sample", direction: str) -> int:
+        """Return the bytes of all nodes that live in both samples."""
+        return round(
+            sum(
+                own[direction] - earlier.control[name][direction]
+                for name, own in self.control.items()
+                if name in earlier.control
+            )
+        )
+
+    def processes_since(self, earlier: "Sample") -> dict[str, dict[str, Any]]:
+        """Return processor time since an earlier sample, and memory now."""
+        return {
+            name: {
+                "role": own["role"],
+                "cpu_s": round(own["cpu_s"] - earlier.processes[name]["cpu_s"], 3),
+                "rss_mib": own["rss_mib"],
+            }
+            for name, own in self.processes.items()
+            if name in earlier.processes
+        }
+
+
+def bench_deployment(name: str) -> Deployment:
+    """Return a deployment whose capacity the load can exceed threefold."""
+    deployment = DEPLOYMENTS[name]
+    return replace(
+        deployment, upstreams=tuple(_sized(u) for u in deployment.upstreams)
+    )
+
+
+def _sized(upstream: UpstreamPlan) -> UpstreamPlan:
+    own = ENGINE_ARGUMENTS if upstream.kind == "model" else PLAIN_ARGUMENTS
+    # The last of two equal flags counts.
+    return replace(upstream, arguments=(*upstream.arguments, *own), n_places=N_PLACES)
+
+
+class Rig:
+    """A running deployment with the naive policy beside it.
+
+    Parameters
+    ----------
+    name : str
+        Name of the deployment.
+
+    Attributes
+    ----------
+    capacity : dict of str to float
+        By pool, tokens a second of engines or requests a second of services.
+    mean_work : dict of str to float
+        By pool, mean of `Request.work`.
+    """
+
+    def __init__(self, name: str) -> None:
+        self.deployment = bench_deployment(name)
+        self.sheet = parse_sheet(self.deployment.sheet.read_bytes()).unwrap()
+        places = {"initial": N_PLACES, "maximum": N_PLACES}
+        options = LaunchOptions(log_level="warning", agent={"places": places})
+        self.launcher = Launcher(self.deployment, options)
+        self.naive = Program(
+            "naive", "bench_naive", self.launcher.directory / "naive.log"
+        )
+        self.pools = sorted({u.pool for u in self.deployment.upstreams})
+        self.capacity: dict[str, float] = {}
+        self.mean_work: dict[str, float] = {}
+
+    async def __aenter__(self) -> "Rig":
+        await self.launcher.start()
+        self.client = ExchangeClient(MAX_EXCHANGES)
+        upstreams = ",".join(
+            f"{u.pool}={self.launcher.upstream_address(u.instance)}"
+            for u in self.deployment.upstreams
+        )
+        await self.naive.start(
+            [f"--sheet={self.deployment.sheet}", f"--upstreams={upstreams}"]
+        )
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        self.client.close()
+        await self.naive.stop(timeout_s=0)
+        await self.launcher.stop()
+
+    def urls(self, policy: str) -> list[str]:
+        """Return where callers of a policy send their requests."""
+        if policy == POMELO:
+            return self.launcher.entry_urls
+        return [f"http://{self.naive.announced['http_address']}"]
+
+    def remote_upstreams(self) -> list[UpstreamPlan]:
+        """Return the upstreams outside the region of the entries."""
+        regions = self.deployment.regions
+        home = {regions[entry.failure_domain] for entry in self.deployment.entries}
+        return [
+            upstream
+            for upstream in self.deployment.upstreams
+            if regions[upstream.failure_domain] not in home
+        ]
+
+    async def calibrate(self, seed: int) -> None:
+        """Measure the capacity by a closed loop directly at the upstreams."""
+        stop = asyncio.Event()
+        tasks = []
+        for upstream in self.deployment.upstreams:
+            for number in range(2 * N_PLACES):
+                rng = random.Random(f"{seed}-{upstream.instance}-{number}")
+                salt = f"calibrate{upstream.instance}"
+                maker = RequestMaker(
+                    self.deployment.name, self.sheet, rng, f"{salt}{number}"
+                )
+                tasks.append(
+                    asyncio.create_task(self._call_directly(upstream, maker, stop))
+                )
+        await asyncio.sleep(CALIBRATION_WARM_S)
+        before = await self.sample()
+        await asyncio.sleep(CALIBRATION_S)
+        after = await self.sample()
+        stop.set()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks)
+        for pool in self.pools:
+            work = 0
+            for upstream in self.deployment.upstreams:
+                if upstream.pool != pool:
+                    continue
+                name = upstream.instance
+                key = "n_generated" if upstream.kind == "model" else "n_completed"
+                work += after.states[name][key] - before.states[name][key]
+            self.capacity[pool] = work / CALIBRATION_S
+
+    async def _call_directly(
+        self, upstream: UpstreamPlan, maker: RequestMaker, stop: asyncio.Event
+    ) -> None:
+        url = f"http://{self.launcher.upstream_address(upstream.instance)}"
+        paths = {
+            f"/services/{service.name}": service.path
+            for service in self.sheet.services.values()
+        }
+        while not stop.is_set():
+            request = maker.make(upstream.pool, 0.0)
+            body, path = request.body, request.path
+            if upstream.kind == "model":
+                decoded = msgspec.json.decode(body)
+                decoded["model"] = self.sheet.services[decoded["model"]].model
+                body = msgspec.json.encode(decoded)
+            else:
+                own = next(prefix for prefix in paths if path.startswith(prefix))
+                path = paths[own] + path.removeprefix(own)
+            await send(self.client, url, replace(request, path=path, body=body), 0.0)
+
+    async def sample(self) -> Sample:
+        """Read all counters; processes that have ended are left out."""
+        launcher = self.launcher
+        states = {}
+        control = {}
+        for upstream in self.deployment.upstreams:
+            if launcher.program(f"upstream:{upstream.instance}").is_running:
+                url = f"http://{launcher.upstream_address(upstream.instance)}/_state"
+                state = msgspec.json.decode(await _get(url))
+                states[upstream.instance] = Counter(
+                    {k: v for k, v in state.items() if isinstance(v, int)}
+                )
+        programs = {"naive": ("naive", self.naive)}
+        for name, node in launcher.nodes.items():
+            if node.program.is_running:
+                text = (await _get(f"http://{node.http_address}/metrics")).decode()
+                control[name] = control_bytes(text)
+                role = "entries" if node.role == ENTRY else "agents"
+                programs[node.program.name] = (role, node.program)
+        processes = {
+            name: {"role": role, **_usage(program.pid)}
+            for name, (role, program) in programs.items()
+        }
+        return Sample(states, control, processes)
+
+
+def control_bytes(metrics: str) -> dict[str, float]:
+    """Return the control bytes from a text in the Prometheus format.
+
+    Examples
+    --------
+    >>> control_bytes("pomelothread_control_sent_bytes 7.0")
+    {'sent': 7.0, 'received': 0.0}
+    """
+    totals = {"sent": 0.0, "received": 0.0}
+    for line in metrics.splitlines():
+        name, _, value = line.rpartition(" ")
+        for direction in totals:
+            if name.startswith(f"{_CONTROL_PREFIX}{direction}_bytes"):
+                totals[direction] += float(value)
+    return totals
+
+
+def _usage(pid: int) -> dict[str, float]:
+    process = psutil.Process(pid)
+    times = process.cpu_times()
+    return {
+        "cpu_s": times.user + times.system,
+        "rss_mib": round(process.memory_info().rss / 2**20, 1),
+    }
+
+
+async def _get(url: str) -> bytes:
+    response = await AsyncHTTPClient().fetch(url)
+    return bytes(response.body)
