--- a/src/pomelothread/agent/orders.py
+++ b/src/pomelothread/agent/orders.py
@@ -27,10 +27,14 @@
 from ..peers.dispatch import Dispatch
 from ..peers.headers import end_to_end_headers
 from ..peers.http_exchange import ExchangeClient, ResponseHead
+from ..peers.waiting import wait_at_most
 
 _logger = logging.getLogger(__name__)
 
 ASK_AGAIN_S = 1.0
+# An append takes some 25 ms with its batch; the caller's answer must not hang
+# on a log that has failed since the claim.
+RECORD_WAIT_S = 1.0
 LOOKUP_TIMEOUT_S = 5.0
 MAX_STORED_BYTES = 1024 * 1024
 # Delays between lookups of an order whose answer was lost. The upstream may
@@ -202,8 +206,14 @@
         headers: tuple[tuple[str, str], ...],
         body: bytes,
     ) -> None:
-        """Record the response to an order."""
-        await self._claimant.finish(token, status, headers, body)
+        """Record the response to an order, before its caller is told.
+
+        An agent that died between the answer and the record would leave an
+        order that its caller knows to have run but nobody can find. While the
+        log is slow or down, the caller waits for `RECORD_WAIT_S` at most.
+        """
+        recorded = await self._claimant.finish(token, status, headers, body)
+        await wait_at_most(recorded, self._clock, RECORD_WAIT_S)
 
     async def abandon(self, token: ClaimToken) -> None:
         """Record that an order was not dispatched and never will be."""
--- a/src/pomelothread/log/claim_writer.py
+++ b/src/pomelothread/log/claim_writer.py
@@ -50,9 +50,11 @@
     ----------
     is_dropped : bool
         Set by the owner when the record is no longer wanted.
+    ended : Future
+        Done when the record is on the log, or was dropped.
     """
 
-    __slots__ = ("is_dropped", "keep", "on_refused", "record")
+    __slots__ = ("ended", "is_dropped", "keep", "on_refused", "record")
 
     def __init__(
         self,
@@ -64,6 +66,7 @@
         self.keep = keep
         self.on_refused = on_refused
         self.is_dropped = False
+        self.ended: asyncio.Future[None] = asyncio.get_running_loop().create_future()
 
 
 class ClaimWriter:
@@ -237,6 +240,8 @@
                 self._has_work.set()
 
     def _end(self, outgoing: Outgoing) -> None:
+        if not outgoing.ended.done():
+            outgoing.ended.set_result(None)
         if outgoing.keep is Keep.UNTIL_APPENDED:
             self._n_lasting -= 1
             if self._n_lasting == 0:
--- a/src/pomelothread/log/claims.py
+++ b/src/pomelothread/log/claims.py
@@ -198,7 +198,7 @@
         status: int,
         headers: tuple[tuple[str, str], ...],
         body: bytes,
-    ) -> None:
+    ) -> asyncio.Future[None]:
         """Record the response to an order.
 
         Returns at once; the record is appended in the background until it is
@@ -214,6 +214,11 @@
             End-to-end headers of the response.
         body : bytes
             The whole body; not stored if it is over 16 KiB.
+
+        Returns
+        -------
+        Future
+            Done when the record is on the log.
         """
         self._held.release(token)
         is_too_large = len(body) > MAX_STORED_BODY_BYTES
@@ -230,7 +235,9 @@
         )
         self._held.finishing[token.key_digest] = done
         self._responses.remember(done)
-        self._writer.put(Outgoing(done, Keep.UNTIL_APPENDED))
+        outgoing = Outgoing(done, Keep.UNTIL_APPENDED)
+        self._writer.put(outgoing)
+        return outgoing.ended
 
     async def abandon(self, token: ClaimToken) -> None:
         """Record that an order was not dispatched, and never will be."""
--- a/tools/fault_cases.py
+++ b/tools/fault_cases.py
@@ -305,12 +305,21 @@
                 break
             if told.outcome == RUN:
                 break
+            if told.outcome == NOT_RUN:
+                for name in engines:
+                    await _wait_running(trial, name)
     finally:
         for task in supervisors:
             task.cancel()
         await asyncio.gather(*supervisors, return_exceptions=True)
 
 
+async def _wait_running(trial: Trial, name: str) -> None:
+    program = trial.world.launcher.program(name)
+    while not program.is_running or trial.world.locks[name].locked():
+        await asyncio.sleep(POLL_S)
+
+
 async def _supervise(trial: Trial, name: str, marker: str) -> None:
     """Start an engine again whenever the body has crashed it."""
     program = trial.world.launcher.program(name)
--- a/tools/fault_load.py
+++ b/tools/fault_load.py
@@ -160,7 +160,7 @@
         if status >= 400:
             return _problem(status, text)
         if call.n_tokens:
-            return _check_chat(call, text)
+            return check_chat(call, text)
         return _check_plain(call, text)
 
 
@@ -201,7 +201,21 @@
     return outcome, kind, ""
 
 
-def _check_chat(call: Call, text: str) -> tuple[str, str, str]:
+def check_chat(call: Call, text: str) -> tuple[str, str, str]:
+    """Check the text of a response to a chat completion.
+
+    Parameters
+    ----------
+    call : Call
+        The request.
+    text : str
+        The body, which ended properly.
+
+    Returns
+    -------
+    tuple of (str, str, str)
+        Outcome, detail, and "".
+    """
     expected = answer_text(f"{call.marker} leg leg", call.n_tokens)
     if not call.is_streamed:
         try:
--- a/tools/naive_proxy.py
+++ b/tools/naive_proxy.py
@@ -15,7 +15,7 @@
 from typing import Any
 
 from absl import flags
-from tornado.httpclient import AsyncHTTPClient, HTTPRequest
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
 from tornado.web import Application, RequestHandler
 
 from launch_settings import ENTRY, Node
@@ -58,7 +58,7 @@
             )
             try:
                 response = await AsyncHTTPClient().fetch(request, raise_error=False)
-            except OSError as failure:
+            except (OSError, HTTPClientError) as failure:
                 error = failure
                 continue
             if response.code != 599:
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -6,6 +6,7 @@
 import signal
 import sys
 from collections.abc import Sequence
+from contextlib import suppress
 from pathlib import Path
 
 import msgspec
@@ -117,7 +118,10 @@
     def signal(self, number: signal.Signals) -> None:
         """Send a signal, if the process is running."""
         if self._process is not None and self.is_running:
-            self._process.send_signal(number)
+            # Popen.send_signal would reap a child that has just ended, and the
+            # event loop would then report 255 in place of its exit status.
+            with suppress(ProcessLookupError):
+                os.kill(self._process.pid, number)
 
     async def wait(self) -> int:
         """Wait for the end and return the exit status, negative for a signal."""
