--- a/src/pomelothread/log/upkeep.py
+++ b/src/pomelothread/log/upkeep.py
@@ -119,6 +119,7 @@
                 entry.origin,
                 entry.expires_at_ms,
                 entry.state is KeyState.ABANDONED,
+                self._ledger.is_replaced(entry.holder),
             )
         match await self._responses.fetch(key_digest, entry):
             case Success(done):
