--- a/tools/fault_load.py
+++ b/tools/fault_load.py
@@ -8,6 +8,7 @@
 import json
 import random
 import time
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from typing import Any
@@ -317,8 +318,10 @@
 
 
 def count_by_outcome(told: list[Told]) -> dict[str, int]:
-    """Return the number of answers of each outcome."""
-    counts: dict[str, int] = {}
-    for answer in told:
-        counts[answer.outcome] = counts.get(answer.outcome, 0) + 1
-    return counts
+    """Return the number of answers of each outcome, with the problem if told one."""
+    return Counter(
+        f"{answer.outcome} ({answer.detail})"
+        if answer.outcome in {NOT_RUN, NOT_KNOWN}
+        else answer.outcome
+        for answer in told
+    )
--- a/tools/faults.py
+++ b/tools/faults.py
@@ -64,7 +64,9 @@
         texts = [f"{' + '.join(pair)}: {n}" for pair, n in sorted(pairs.items())]
         for start in range(0, len(texts), PAIRS_PER_LINE):
             print("; ".join(texts[start : start + PAIRS_PER_LINE]))
-    print("\nanswers: " + ", ".join(f"{n} {name}" for name, n in outcomes.items()))
+    print("\nanswers:")
+    for outcome, n in outcomes.most_common():
+        print(f"{n:6} {outcome}")
     violations = count_violations(results)
     print(f"\n{'check':34} {'violations':>10}")
     for check, text in CHECKS.items():
