--- a/tools/fault_load.py
+++ b/tools/fault_load.py
@@ -8,6 +8,7 @@
 import json
 import random
 import time
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from typing import Any
@@ -160,7 +161,7 @@
         if status >= 400:
             return _problem(status, text)
         if call.n_tokens:
-            return _check_chat(call, text)
+            return check_chat(call, text)
         return _check_plain(call, text)
 
 
@@ -201,7 +202,21 @@
     return outcome, kind, ""
 
 
-def _check_chat(call: Call, text: str) -> tuple[str, str, str]:
+def check_chat(call: Call, text: str) -> tuple[str, str, str]:
+    """Check the text of a response to a chat completion.
+
+    Parameters
+    ----------
+    call : Call
+        The request.
+    text : str
+        The body, which ended properly.
+
+    Returns
+    -------
+    tuple of (str, str, str)
+        Outcome, detail, and "".
+    """
     expected = answer_text(f"{call.marker} leg leg", call.n_tokens)
     if not call.is_streamed:
         try:
@@ -303,8 +318,10 @@
 
 
 def count_by_outcome(told: list[Told]) -> dict[str, int]:
-    """Return the number of answers of each outcome."""
-    counts: dict[str, int] = {}
-    for answer in told:
-        counts[answer.outcome] = counts.get(answer.outcome, 0) + 1
-    return counts
+    """Return the number of answers of each outcome, with the problem if told one."""
+    return Counter(
+        f"{answer.outcome} ({answer.detail})"
+        if answer.outcome in {NOT_RUN, NOT_KNOWN}
+        else answer.outcome
+        for answer in told
+    )
