Judge records of a newer format by their version and base

One stray record of a newer format stopped all later changes of the sheet at every process until it was restarted.

--- a/src/pomelothread/operators/replication.py
+++ b/src/pomelothread/operators/replication.py
@@ -8,7 +8,6 @@
 exact from there on.
 """
 
-import sys
 from collections.abc import Callable
 from dataclasses import replace
 from datetime import datetime, timedelta
@@ -19,10 +18,10 @@
 from .changes import IgnoredRecord, IgnoreReason, SheetChange, Source
 from .deltas import DigestedSheet, apply_delta, has_exactly
 from .digests import EMPTY_TREE
+from .parts import PartAssembler, PlacedRecord
 from .publications import (
+    Base,
     NewerFormat,
-    PartAssembler,
-    PlacedRecord,
     RecordKind,
     SheetRecord,
     decode_record,
@@ -139,16 +138,16 @@
         self._next_offset = record.offset + 1
         match decode_record(record.value):
             case Failure(NewerFormat() as newer):
-                version = sys.maxsize if newer.version is None else newer.version
-                self._blocked_below = max(self._blocked_below, version)
-                detail = f"format {newer.format} needs newer software"
-                self._ignore(record.offset, IgnoreReason.NEWER_FORMAT, detail)
+                self._note_newer_format(newer, record.offset)
             case Failure(str(detail)):
                 self._ignore(record.offset, IgnoreReason.MALFORMED, detail)
             case Success(part):
                 placed = self._assembler.add(part, record)
-                if placed is not None:
-                    return self._fold(placed)
+                if placed is None:
+                    return None
+                if placed.record.kind is RecordKind.CARRY_FORWARD:
+                    return self._fold_carried(placed)
+                return self._fold_publication(placed)
         return None
 
     def adopt(self, snapshot_bytes: bytes) -> SheetChange | None:
@@ -270,10 +269,17 @@
             self._is_anchored = False
             self._pending.clear()
 
-    def _fold(self, placed: PlacedRecord) -> SheetChange | None:
-        if placed.record.kind is RecordKind.CARRY_FORWARD:
-            return self._fold_carried(placed)
-        return self._fold_publication(placed)
+    def _note_newer_format(self, newer: NewerFormat, offset: int) -> None:
+        version = self.sheet.version
+        successor = (Base(version, self.sheet.digest), version + 1)
+        is_certain = self._is_anchored and not self.is_blocked
+        if is_certain and newer.base and (newer.base, newer.version) != successor:
+            detail = f"base {newer.base.version}, version {version} is in force"
+            self._ignore(offset, IgnoreReason.NOT_THE_BASE, detail)
+            return
+        self._blocked_below = max(self._blocked_below, newer.version)
+        detail = f"format {newer.format} needs newer software"
+        self._ignore(offset, IgnoreReason.NEWER_FORMAT, detail)
 
     def _fold_publication(self, placed: PlacedRecord) -> SheetChange | None:
         record = placed.record
