Refund the charge of a grant that was not used

Cause: an offer is charged to its organisation's share when it is granted. With offers at several agents at once, all grants but one are declined, so an organisation paid several times for one request, in proportion to how many agents granted it. Grants that are declined, withdrawn, revoked or expire are now refunded; those that are used are not.

--- a/src/pomelothread/agent/grants.py
+++ b/src/pomelothread/agent/grants.py
@@ -161,7 +161,7 @@
             tier_rank=offer.tier_rank,
             organisation=offer.organisation,
             share=offer.share,
-            cost=float(offer.n_input_tokens + offer.n_output_tokens),
+            cost=_cost(offer),
         )
         return self.fill()
 
@@ -238,10 +238,11 @@
         if granted is None or granted.offer.request_id != request_id:
             return None
         now_s = self._clock.monotonic_s()
-        self._drop_grant(grant)
         if granted.expires_at_s <= now_s:
+            self._drop_grant(grant)
             self.n_expired += 1
             return None
+        self._take_out(grant)
         self._used_at_s[grant] = now_s
         place = Place(grant, granted.offer)
         self._running[grant] = place
@@ -350,9 +351,20 @@
         message = Refuse(self._incarnation, offer.request_id, reason)
         return Reply(offer.incarnation, message)
 
-    def _drop_grant(self, grant: int) -> None:
+    def _take_out(self, grant: int) -> _Granted:
         granted = self._granted.pop(grant)
         self._granted_by_request.pop(granted.offer.request_id, None)
+        return granted
+
+    def _drop_grant(self, grant: int) -> None:
+        """Take back a grant that was not used, at no cost to its organisation."""
+        offer = self._take_out(grant).offer
+        self.queue.refund(
+            tier_rank=offer.tier_rank,
+            organisation=offer.organisation,
+            share=offer.share,
+            cost=_cost(offer),
+        )
 
     def _forget_used(self, now_s: float) -> None:
         # Grant numbers rise, so the dictionary is in order of use closely
@@ -363,3 +375,8 @@
                 return
             del self._used_at_s[grant]
             self._oldest_remembered = max(self._oldest_remembered, grant + 1)
+
+
+def _cost(offer: Offer) -> float:
+    """Return what an organisation is charged for a request, in tokens."""
+    return float(offer.n_input_tokens + offer.n_output_tokens)
