Load and unload adapters as the sheet in force wants them

Cause: nothing told an engine which adapters to hold; the commands existed without a user. A new row kind 'adapter' (name, pool, path) states what every engine of a pool has loaded. Only the agent in the engine's slot issues commands, one at a time; a command is given up if another sheet has come into force before it is sent, and loads are spread over the rate of the weight store.

Not covered: adapters that a sheet dropped while the agent was being replaced stay loaded, since an engine's list does not tell who wanted them.

--- a/src/pomelothread/agent/process.py
+++ b/src/pomelothread/agent/process.py
@@ -46,6 +46,8 @@
 from ..tracing import setup_tracing
 from ..upstreams.health import Down, Gone, HealthChange, Up, UpstreamHealth
 from ..upstreams.load_report import LoadReports
+from ..upstreams.management import EngineManager
+from .adapters import AdapterKeeper
 from .crash_reports import CrashReports
 from .dispatcher import Dispatcher, wait_until_idle
 from .grants import ENTRY_SILENCE_S, Grants, Reply
@@ -151,6 +153,19 @@
             send_replies=self._send_replies,
             on_cut=self._reports.connection_cut,
         )
+        self._adapters = AdapterKeeper(
+            EngineManager(
+                self._client,
+                settings.upstream.url,
+                clock,
+                lambda: self._replica.sheet.version,
+            ),
+            settings.pool,
+            node.instance,
+            self._instances_of_pool,
+            settings.upstream.load_interval_s,
+            clock,
+        )
         self._add_gauges()
 
     async def run(self) -> int:
@@ -216,6 +231,7 @@
         tasks.start("health", self._health.run())
         if settings.upstream.kind == KIND_MODEL:
             tasks.start("load-reports", self._load.run())
+            tasks.start("adapters", self._adapters.run())
         tasks.start("claims", self._claimant.run())
         tasks.start("crashes", crash_tail.run())
         tasks.start(
@@ -375,6 +391,7 @@
     def _use_sheet(self, change: SheetChange) -> None:
         sheet = change.sheet
         self._dispatcher.sheet = sheet
+        self._adapters.use_sheet(sheet)
         for fingerprint in sheet.releases.keys() - change.previous.releases.keys():
             record = self._crashes.release(fingerprint, sheet.version)
             if record is not None:
@@ -434,6 +451,10 @@
     def _is_instance_live(self, instance: str) -> bool:
         return any(known.name == instance for known in self._membership.all())
 
+    def _instances_of_pool(self) -> list[str]:
+        live = self._membership.live(ROLE, self._settings.pool)
+        return [instance.name for instance in live]
+
     def _peer_addresses(self) -> list[str]:
         return [
             instance.http_address
--- a/src/pomelothread/entry/offers.py
+++ b/src/pomelothread/entry/offers.py
@@ -69,9 +69,8 @@
             for view in self._agents.views(request.pool)
             if view.incarnation not in request.excluded
         ]
-        chosen = choose_agents(
-            request.facts, views, now_s, spread_seed=zlib.crc32(request.request_id.encode())
-        )
+        spread_seed = zlib.crc32(request.request_id.encode())
+        chosen = choose_agents(request.facts, views, now_s, spread_seed=spread_seed)
         for incarnation, inbox in request.offered.items():
             self._send(request, incarnation, inbox)
         for scheduled in schedule_offers(request.facts, chosen, now_s):
--- a/src/pomelothread/operators/cells.py
+++ b/src/pomelothread/operators/cells.py
@@ -205,6 +205,14 @@
     return Success(text)
 
 
+def weight_path(text: str) -> Result[str, Remedy]:
+    """Read the place of an adapter in the weight store."""
+    if any(c.isspace() for c in text):
+        expected = "the adapter's path in the weight store, without spaces"
+        return Failure(Remedy(expected, "Copy the path from the weight store."))
+    return Success(text)
+
+
 def hexadecimal(n_digits: int, what: str) -> Reader:
     """Make a reader of a digest in hexadecimal digits.
 
--- a/src/pomelothread/operators/columns.py
+++ b/src/pomelothread/operators/columns.py
@@ -8,8 +8,9 @@
 TIER = "tier"
 ORGANISATION = "organisation"
 SERVICE = "service"
+ADAPTER = "adapter"
 RELEASE = "release"
-ROW_KINDS = (TIER, ORGANISATION, SERVICE, RELEASE)
+ROW_KINDS = (TIER, ORGANISATION, SERVICE, ADAPTER, RELEASE)
 NOTE = "note"
 
 
@@ -71,6 +72,11 @@
         Column("key_life_s", cells.positive_number),
         Column("dated_keys", cells.flag),
     ),
+    ADAPTER: (
+        Column("name", cells.model_name, required=True),
+        Column("pool", cells.name, required=True),
+        Column("path", cells.weight_path, required=True),
+    ),
     RELEASE: (
         Column(
             "name",
--- a/src/pomelothread/operators/deltas.py
+++ b/src/pomelothread/operators/deltas.py
@@ -12,7 +12,7 @@
     SheetRow,
     row_digest,
 )
-from .sheet import Organisation, Release, Service, Sheet, Tier
+from .sheet import Adapter, Organisation, Release, Service, Sheet, Tier
 
 
 class RowsPut(msgspec.Struct, frozen=True):
@@ -21,6 +21,7 @@
     tiers: tuple[Tier, ...] = ()
     organisations: tuple[Organisation, ...] = ()
     services: tuple[Service, ...] = ()
+    adapters: tuple[Adapter, ...] = ()
     releases: tuple[Release, ...] = ()
 
 
@@ -30,6 +31,7 @@
     tiers: tuple[str, ...] = ()
     organisations: tuple[str, ...] = ()
     services: tuple[str, ...] = ()
+    adapters: tuple[str, ...] = ()
     releases: tuple[str, ...] = ()
 
 
--- a/src/pomelothread/operators/digests.py
+++ b/src/pomelothread/operators/digests.py
@@ -12,18 +12,19 @@
 
 import msgspec
 
-from .sheet import Organisation, Release, Service, Sheet, Tier
+from .sheet import Adapter, Organisation, Release, Service, Sheet, Tier
 
 DIGEST_BYTES = 16
 N_BUCKETS = 256
 
-SheetRow = Tier | Organisation | Service | Release
+SheetRow = Tier | Organisation | Service | Adapter | Release
 
 # Collections of a sheet, with the field that names a row within each.
 NAME_FIELD_BY_COLLECTION = {
     "tiers": "name",
     "organisations": "name",
     "services": "name",
+    "adapters": "name",
     "releases": "fingerprint",
 }
 COLLECTIONS = tuple(NAME_FIELD_BY_COLLECTION)
@@ -33,7 +34,7 @@
     struct: tuple(
         (f.name, f.default, f.type is float) for f in msgspec.structs.fields(struct)
     )
-    for struct in (Tier, Organisation, Service, Release)
+    for struct in (Tier, Organisation, Service, Adapter, Release)
 }
 _encode = msgspec.msgpack.Encoder().encode
 
@@ -46,7 +47,7 @@
 
     Parameters
     ----------
-    row : Tier or Organisation or Service or Release
+    row : Tier, Organisation, Service, Adapter or Release
         A row of a sheet.
 
     Returns
--- a/src/pomelothread/operators/planning.py
+++ b/src/pomelothread/operators/planning.py
@@ -6,6 +6,7 @@
 from returns.result import Failure, Result, Success
 
 from .columns import (
+    ADAPTER,
     COLUMN_NAMES,
     COLUMNS_BY_KIND,
     NOTE,
@@ -21,12 +22,13 @@
 from .crosschecks import PlannedRow, cross_check
 from .decoding import SEPARATOR_NAMES, Row, Table, normal_header, read_table
 from .faults import SheetFault, quoted
-from .sheet import Organisation, Release, Service, Sheet, Tier
+from .sheet import Adapter, Organisation, Release, Service, Sheet, Tier
 
 _STRUCT_BY_KIND: dict[str, type[Any]] = {
     TIER: Tier,
     ORGANISATION: Organisation,
     SERVICE: Service,
+    ADAPTER: Adapter,
     RELEASE: Release,
 }
 
@@ -99,6 +101,7 @@
             tiers=rows_by_kind[TIER],
             organisations=rows_by_kind[ORGANISATION],
             services=rows_by_kind[SERVICE],
+            adapters=rows_by_kind[ADAPTER],
             releases=rows_by_kind[RELEASE],
         )
     )
--- a/src/pomelothread/operators/sheet.py
+++ b/src/pomelothread/operators/sheet.py
@@ -48,6 +48,18 @@
     dated_keys: bool = False
 
 
+class Adapter(msgspec.Struct, frozen=True):
+    """A LoRA adapter that every engine of a pool has loaded.
+
+    `path` is its place in the weight store. Another version of an adapter
+    needs another name, since engines list names only.
+    """
+
+    name: str
+    pool: str
+    path: str
+
+
 class Release(msgspec.Struct, frozen=True):
     """Lets a convicted request run again."""
 
@@ -65,4 +77,5 @@
     tiers: dict[str, Tier] = {}
     organisations: dict[str, Organisation] = {}
     services: dict[str, Service] = {}
+    adapters: dict[str, Adapter] = {}
     releases: dict[str, Release] = {}
--- a/src/pomelothread/settings.py
+++ b/src/pomelothread/settings.py
@@ -150,12 +150,15 @@
         ``ip:port`` of the engine's ZeroMQ publisher of cache events, or "".
     enforces_fencing : bool
         Whether the upstream rejects commands with an old fencing token.
+    load_interval_s : float
+        Time that the weight store needs between two starts of a load.
     """
 
     kind: str = choice_field("model", "plain")
     url: str = url_field(ip_only=True)
     cache_events: str = address_field(optional=True)
     enforces_fencing: bool = flag_field(default=False)
+    load_interval_s: float = number_field(0, 3600, default=5)
 
 
 @dataclass(frozen=True, slots=True)
