Follow the sheet and the instance list in one place for both programs

Cause: the entry and the agent each had the same four tasks and callbacks for the list, the sheet, its adoption from peers and the state of the log, some 90 lines twice. No change of behaviour: the demo of the tiny deployment and 58 whole-path and fleet cases pass before and after.

--- a/src/pomelothread/agent/process.py
+++ b/src/pomelothread/agent/process.py
@@ -6,15 +6,11 @@
 
 from ..clock import Clock
 from ..events import Event, log_event
-from ..instance_list.client import InstanceListClient, follow_instances
-from ..instance_list.membership import Membership
 from ..log.claims import Claimant
 from ..log.client import HttpLogClient
 from ..log.tail import LogTail
 from ..metrics import Metrics
 from ..operators.changes import SheetChange
-from ..operators.following import FollowSettings, FollowStatus, follow_sheet
-from ..operators.replication import SheetReplica
 from ..operators.sheet import KIND_MODEL
 from ..peers.control import ControlChannel
 from ..peers.http_exchange import ExchangeClient
@@ -34,12 +30,11 @@
     Tasks,
     announce,
     listen_http,
-    log_list_outage,
     new_incarnation,
     stop_event,
 )
-from ..peers.sheets import adopt_from_peers
 from ..peers.status import NodeStatus, StatusSource, status_routes
+from ..peers.surroundings import PlatformAddresses, Surroundings
 from ..policy.crashes import CRASH_TOPIC, CrashBook
 from ..policy.places import PlaceLimit
 from ..settings import AgentSettings
@@ -84,8 +79,6 @@
         self._stop = stop_event()
         self.incarnation = new_incarnation()
         self._http_address = ""
-        self._sheet_at_end = False
-        self._log_failed = False
         self._is_stopping = False
         self._is_ready = False
         self._leaving_said_by_entries: set[str] = set()
@@ -104,14 +97,24 @@
         self._grants = Grants(self.incarnation, limit, clock)
         self._grants.state = CLOSED
         self._rates = Rates()
-        self._membership = Membership()
-        self._replica = SheetReplica()
         self._metrics = Metrics(clock)
         self._crashes = CrashBook(self.incarnation)
         self._log = HttpLogClient(
             settings.log_address, timeout_s=settings.claims.confirm_timeout_s
         )
         self._client = ExchangeClient(max_exchanges=places.maximum + EXTRA_EXCHANGES)
+        self._surroundings = Surroundings(
+            PlatformAddresses(
+                node.instance,
+                settings.log_address,
+                settings.instance_list_address,
+                settings.claims.retention_s,
+            ),
+            self._client,
+            clock,
+            self._use_sheet,
+            self._update_state,
+        )
         self._claimant = Claimant(
             self._log,
             settings.pool,
@@ -158,7 +161,7 @@
                 self._client,
                 settings.upstream.url,
                 clock,
-                lambda: self._replica.sheet.version,
+                lambda: self._surroundings.sheet.version,
             ),
             settings.pool,
             node.instance,
@@ -177,7 +180,10 @@
             The exit code of the process.
         """
         source = StatusSource(
-            self.status, lambda: self._is_ready, self._replica.snapshot, self._metrics
+            self.status,
+            lambda: self._is_ready,
+            self._surroundings.replica.snapshot,
+            self._metrics,
         )
         routes: list[Any] = agent_routes(self._dispatcher, self._orders)
         routes += status_routes(source)
@@ -209,7 +215,7 @@
 
     def status(self) -> NodeStatus:
         """Return the state of the process for operators."""
-        sheet = self._replica.sheet
+        sheet = self._surroundings.sheet
         return NodeStatus(
             instance=self._settings.node.instance,
             role=ROLE,
@@ -223,7 +229,6 @@
 
     def _start_tasks(self, tasks: Tasks) -> None:
         settings = self._settings
-        listing = InstanceListClient(settings.instance_list_address)
         crash_tail = LogTail(self._log, CRASH_TOPIC, self._clock, self._reports.fold)
         tasks.start("control", self._receive())
         tasks.start("beats", self._beat())
@@ -234,34 +239,7 @@
             tasks.start("adapters", self._adapters.run())
         tasks.start("claims", self._claimant.run())
         tasks.start("crashes", crash_tail.run())
-        tasks.start(
-            "instances",
-            follow_instances(
-                listing, self._clock, self._use_instances, log_list_outage(self._clock)
-            ),
-        )
-        tasks.start(
-            "sheet",
-            follow_sheet(
-                self._replica,
-                HttpLogClient(settings.log_address),
-                self._clock,
-                FollowSettings(settings.node.instance, settings.claims.retention_s),
-                self._use_sheet,
-                self._note_sheet_status,
-            ),
-        )
-        tasks.start(
-            "sheet-from-peers",
-            adopt_from_peers(
-                self._replica,
-                self._client,
-                self._clock,
-                self._peer_addresses,
-                lambda: self._log_failed or not self._sheet_at_end,
-                self._use_sheet,
-            ),
-        )
+        self._surroundings.start(tasks)
 
     async def _receive(self) -> None:
         """Handle the messages of all entries, in order of arrival."""
@@ -366,7 +344,7 @@
             floors=grants.floors.active(now_s),
             suspects=self._crashes.suspects,
             convicted=self._crashes.convicted,
-            sheet_version=self._replica.sheet.version,
+            sheet_version=self._surroundings.sheet.version,
         )
 
     def _send_replies(self, replies: list[Reply]) -> None:
@@ -384,10 +362,6 @@
                 log_event(_logger, Event.UPSTREAM_DOWN, url=url, detail=detail)
         self._update_state()
 
-    def _use_instances(self, membership: Membership) -> None:
-        self._membership.replace(membership)
-        self._update_state()
-
     def _use_sheet(self, change: SheetChange) -> None:
         sheet = change.sheet
         self._dispatcher.sheet = sheet
@@ -402,23 +376,6 @@
         )
         share = self._settings.places.reserved_share if has_protected else 0.0
         self._grants.limit.set_reserved_share(share)
-        log_event(
-            _logger,
-            Event.SHEET_ACCEPTED,
-            sheet_version=sheet.version,
-            operator=change.operator,
-            digest=sheet.digest,
-        )
-        self._update_state()
-
-    def _note_sheet_status(self, status: FollowStatus) -> None:
-        failed = status.failure is not None
-        if failed and not self._log_failed:
-            detail = status.failure.detail if status.failure else ""
-            log_event(_logger, Event.LOG_UNREACHABLE, topic="sheet", detail=detail)
-        self._log_failed = failed
-        self._sheet_at_end = status.is_at_end
-        self._update_state()
 
     def _update_state(self) -> None:
         """Open or close the agent to new work."""
@@ -429,7 +386,7 @@
             replies = self._grants.reopen()
             if not self._is_ready:
                 self._is_ready = True
-                version = self._replica.sheet.version
+                version = self._surroundings.sheet.version
                 log_event(_logger, Event.AGENT_READY, sheet_version=version)
         else:
             replies = self._grants.close(state)
@@ -439,29 +396,24 @@
     def _wanted_state(self) -> str:
         instance = self._settings.node.instance
         is_leaving = bool(self._leaving_said_by_entries) or any(
-            leaving.name == instance for leaving in self._membership.leaving()
+            leaving.name == instance
+            for leaving in self._surroundings.membership.leaving()
         )
         if self._is_stopping or is_leaving:
             return DRAINING
-        has_sheet = self._replica.sheet.version > 0
-        if not has_sheet or not (self._sheet_at_end or self._log_failed):
+        if not self._surroundings.has_sheet or not self._health.is_up:
             return CLOSED
-        return OPEN if self._health.is_up else CLOSED
+        return OPEN
 
     def _is_instance_live(self, instance: str) -> bool:
-        return any(known.name == instance for known in self._membership.all())
+        return any(
+            known.name == instance for known in self._surroundings.membership.all()
+        )
 
     def _instances_of_pool(self) -> list[str]:
-        live = self._membership.live(ROLE, self._settings.pool)
+        live = self._surroundings.membership.live(ROLE, self._settings.pool)
         return [instance.name for instance in live]
 
-    def _peer_addresses(self) -> list[str]:
-        return [
-            instance.http_address
-            for instance in self._membership.all()
-            if instance.name != self._settings.node.instance
-        ]
-
     async def _drain(self) -> None:
         """Hand back all offers, then finish what runs, however long it takes."""
         n_waiting = len(self._grants.queue)
@@ -489,7 +441,7 @@
             "expired_grants": lambda: float(grants.n_expired),
             "control_sent_bytes": lambda: float(self._channel.n_sent_bytes),
             "control_received_bytes": lambda: float(self._channel.n_received_bytes),
-            "sheet_version": lambda: float(self._replica.sheet.version),
+            "sheet_version": lambda: float(self._surroundings.sheet.version),
         }
         for name, read in gauges.items():
             text = f"{name.replace('_', ' ')}.".capitalize()
--- a/src/pomelothread/entry/process.py
+++ b/src/pomelothread/entry/process.py
@@ -7,13 +7,8 @@
 from ..callers.http import caller_routes
 from ..clock import Clock
 from ..events import Event, log_event
-from ..instance_list.client import InstanceListClient, follow_instances
-from ..instance_list.membership import Membership
-from ..log.client import HttpLogClient
 from ..metrics import Metrics
 from ..operators.changes import SheetChange
-from ..operators.following import FollowSettings, FollowStatus, follow_sheet
-from ..operators.replication import SheetReplica
 from ..peers.control import ControlChannel
 from ..peers.http_exchange import ExchangeClient
 from ..peers.messages import (
@@ -28,12 +23,11 @@
     Tasks,
     announce,
     listen_http,
-    log_list_outage,
     new_incarnation,
     stop_event,
 )
-from ..peers.sheets import adopt_from_peers
 from ..peers.status import NodeStatus, StatusSource, status_routes
+from ..peers.surroundings import PlatformAddresses, Surroundings
 from ..policy.crashes import CrashBook
 from ..policy.shedding import Limits
 from ..settings import EntrySettings
@@ -78,20 +72,28 @@
         self._stop = stop_event()
         self.incarnation = new_incarnation()
         self._state = STARTING
-        self._sheet_at_end = False
-        self._log_failed = False
-        self._n_beats = 0
         node = settings.node
-        self._membership = Membership()
         self._channel = ControlChannel(settings.control_address)
-        self._agents = AgentTable(clock, self._membership)
+        self._client = ExchangeClient(max_exchanges=settings.max_running)
+        self._surroundings = Surroundings(
+            PlatformAddresses(
+                node.instance,
+                settings.log_address,
+                settings.instance_list_address,
+                settings.log_retention_s,
+            ),
+            self._client,
+            clock,
+            self._use_sheet,
+            self._update_readiness,
+        )
+        self._agents = AgentTable(clock, self._surroundings.membership)
         self._waiting = WaitingRequests(
             settings.max_waiting, settings.max_waiting_bytes
         )
         self._offers = Offers(
             self.incarnation, self._channel, self._agents, self._waiting, clock
         )
-        self._client = ExchangeClient(max_exchanges=settings.max_running)
         self._attempts = Attempts(
             self.incarnation, self._channel, self._agents, self._client, clock
         )
@@ -99,7 +101,6 @@
             self.incarnation, self._channel, self._agents, clock
         )
         self._crashes = CrashBook(self.incarnation)
-        self._replica = SheetReplica()
         self._metrics = Metrics(clock)
         self._scheduler = RequestScheduler(
             incarnation=self.incarnation,
@@ -128,7 +129,10 @@
             The exit code of the process.
         """
         source = StatusSource(
-            self.status, self.is_ready, self._replica.snapshot, self._metrics
+            self.status,
+            self.is_ready,
+            self._surroundings.replica.snapshot,
+            self._metrics,
         )
         routes: list[Any] = [*status_routes(source), *caller_routes(self._scheduler)]
         server, http_address = listen_http(routes, self._settings.http_address)
@@ -140,7 +144,9 @@
             control_address=self._channel.address,
         )
         tasks = Tasks(on_failure=self._stop.set)
-        self._start_tasks(tasks)
+        tasks.start("control", self._receive())
+        tasks.start("beats", self._beat())
+        self._surroundings.start(tasks)
         announce(http_address, self._channel.address)
         await self._stop.wait()
         if not tasks.failed:
@@ -160,7 +166,7 @@
 
     def status(self) -> NodeStatus:
         """Return the state of the process for operators."""
-        sheet = self._replica.sheet
+        sheet = self._surroundings.sheet
         return NodeStatus(
             instance=self._settings.node.instance,
             role=ROLE,
@@ -172,41 +178,6 @@
             n_running=self._scheduler.n_active - len(self._waiting),
         )
 
-    def _start_tasks(self, tasks: Tasks) -> None:
-        settings = self._settings
-        log = HttpLogClient(settings.log_address)
-        listing = InstanceListClient(settings.instance_list_address)
-        tasks.start("control", self._receive())
-        tasks.start("beats", self._beat())
-        tasks.start(
-            "instances",
-            follow_instances(
-                listing, self._clock, self._use_instances, log_list_outage(self._clock)
-            ),
-        )
-        tasks.start(
-            "sheet",
-            follow_sheet(
-                self._replica,
-                log,
-                self._clock,
-                FollowSettings(settings.node.instance, settings.log_retention_s),
-                self._use_sheet,
-                self._note_sheet_status,
-            ),
-        )
-        tasks.start(
-            "sheet-from-peers",
-            adopt_from_peers(
-                self._replica,
-                self._client,
-                self._clock,
-                self._peer_addresses,
-                lambda: self._log_failed or not self._sheet_at_end,
-                self._use_sheet,
-            ),
-        )
-
     async def _receive(self) -> None:
         """Handle the messages of all agents, in order of arrival."""
         while True:
@@ -236,18 +207,20 @@
             await self._clock.sleep(BEAT_PERIOD_S)
 
     def _send_beats(self) -> None:
-        leaving = tuple(instance.name for instance in self._membership.leaving())
+        leaving = tuple(
+            instance.name for instance in self._surroundings.membership.leaving()
+        )
         beat = EntryBeat(
             incarnation=self.incarnation,
             instance=self._settings.node.instance,
             inbox=self._channel.address,
             n_offers=len(self._waiting),
-            sheet_version=self._replica.sheet.version,
+            sheet_version=self._surroundings.sheet.version,
             leaving_instances=leaving,
         )
         inboxes = {
             instance.control_address
-            for instance in self._membership.all(role="agent")
+            for instance in self._surroundings.membership.all(role="agent")
             if instance.control_address
         }
         inboxes |= {known.beat.inbox for known in self._agents.all()}
@@ -272,26 +245,6 @@
 
     def _use_sheet(self, change: SheetChange) -> None:
         self._scheduler.use_sheet(change.sheet)
-        log_event(
-            _logger,
-            Event.SHEET_ACCEPTED,
-            sheet_version=change.sheet.version,
-            operator=change.operator,
-            digest=change.sheet.digest,
-        )
-        self._update_readiness()
-
-    def _note_sheet_status(self, status: FollowStatus) -> None:
-        failed = status.failure is not None
-        if failed and not self._log_failed:
-            detail = status.failure.detail if status.failure else ""
-            log_event(_logger, Event.LOG_UNREACHABLE, topic="sheet", detail=detail)
-        self._log_failed = failed
-        self._sheet_at_end = status.is_at_end
-        self._update_readiness()
-
-    def _use_instances(self, membership: Membership) -> None:
-        self._membership.replace(membership)
 
     def _update_readiness(self) -> None:
         """Become ready once a sheet is in force and agents have been heard.
@@ -299,10 +252,8 @@
         During an outage of the log, the sheet of a peer stands in. A pool
         without any agent holds the entry back only for `AGENTS_WAIT_S`.
         """
-        sheet = self._replica.sheet
-        if self._state != STARTING or sheet.version == 0:
-            return
-        if not self._sheet_at_end and not self._log_failed:
+        sheet = self._surroundings.sheet
+        if self._state != STARTING or not self._surroundings.has_sheet:
             return
         pools = {service.pool for service in sheet.services.values()}
         waited_s = self._clock.monotonic_s() - self._started_at_s
@@ -311,13 +262,6 @@
             self._state = READY
             log_event(_logger, Event.ENTRY_READY, sheet_version=sheet.version)
 
-    def _peer_addresses(self) -> list[str]:
-        return [
-            instance.http_address
-            for instance in self._membership.all()
-            if instance.name != self._settings.node.instance
-        ]
-
     async def _drain(self) -> None:
         """Go on accepting for a while, then finish everything."""
         self._state = DRAINING
@@ -345,7 +289,7 @@
             "control_received_bytes": lambda: float(self._channel.n_received_bytes),
             "declined_grants": lambda: float(self._offers.n_declined),
             "raised_floors": lambda: float(self._floors.n_raised),
-            "sheet_version": lambda: float(self._replica.sheet.version),
+            "sheet_version": lambda: float(self._surroundings.sheet.version),
         }
         for name, read in gauges.items():
             text = f"{name.replace('_', ' ')}.".capitalize()
--- /dev/null
+++ b/src/pomelothread/peers/surroundings.py
@@ -0,0 +1,174 @@
+"""What every process learns from the platform: the sheet and the instances."""
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from ..clock import Clock
+from ..events import Event, log_event
+from ..instance_list.client import InstanceListClient, follow_instances
+from ..instance_list.membership import Membership
+from ..log.client import HttpLogClient
+from ..operators.changes import SheetChange
+from ..operators.following import FollowSettings, FollowStatus, follow_sheet
+from ..operators.replication import SheetReplica
+from ..operators.sheet import Sheet
+from .http_exchange import ExchangeClient
+from .node import Tasks, log_list_outage
+from .sheets import adopt_from_peers
+
+_logger = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformAddresses:
+    """Where the platform is, and what a process is called there.
+
+    Parameters
+    ----------
+    instance : str
+        Name of the own instance.
+    log_address, instance_list_address : str
+        ``ip:port`` each.
+    log_retention_s : float
+        How long the log keeps a record.
+    """
+
+    instance: str
+    log_address: str
+    instance_list_address: str
+    log_retention_s: float
+
+
+class Surroundings:
+    """The sheet in force and the listed instances, kept up to date.
+
+    Parameters
+    ----------
+    addresses : PlatformAddresses
+        Where the platform is.
+    client : ExchangeClient
+        For asking peers for their sheet while the log is out.
+    clock : Clock
+        Source of time.
+    on_sheet : callable
+        Called with each `SheetChange`.
+    on_change : callable
+        Called after any change, also of the list or of the log's state.
+
+    Attributes
+    ----------
+    membership : Membership
+        The last copy of the instance list.
+    replica : SheetReplica
+        The sheet in force.
+    """
+
+    __slots__ = (
+        "_addresses",
+        "_client",
+        "_clock",
+        "_is_at_end",
+        "_log_failed",
+        "_on_change",
+        "_on_sheet",
+        "membership",
+        "replica",
+    )
+
+    def __init__(
+        self,
+        addresses: PlatformAddresses,
+        client: ExchangeClient,
+        clock: Clock,
+        on_sheet: Callable[[SheetChange], None],
+        on_change: Callable[[], None],
+    ) -> None:
+        self._addresses = addresses
+        self._client = client
+        self._clock = clock
+        self._on_sheet = on_sheet
+        self._on_change = on_change
+        self._is_at_end = False
+        self._log_failed = False
+        self.membership = Membership()
+        self.replica = SheetReplica()
+
+    @property
+    def sheet(self) -> Sheet:
+        """The sheet in force; version 0 before there is one."""
+        return self.replica.sheet
+
+    @property
+    def has_sheet(self) -> bool:
+        """Whether the process may work with the sheet that it holds.
+
+        Either the topic has been read to its end, or the log is out and a
+        peer's sheet stands in.
+        """
+        return self.sheet.version > 0 and (self._is_at_end or self._log_failed)
+
+    def start(self, tasks: Tasks) -> None:
+        """Start the tasks that follow the list and the sheet."""
+        addresses = self._addresses
+        listing = InstanceListClient(addresses.instance_list_address)
+        tasks.start(
+            "instances",
+            follow_instances(
+                listing, self._clock, self._use_instances, log_list_outage(self._clock)
+            ),
+        )
+        tasks.start(
+            "sheet",
+            follow_sheet(
+                self.replica,
+                HttpLogClient(addresses.log_address),
+                self._clock,
+                FollowSettings(addresses.instance, addresses.log_retention_s),
+                self._use_sheet,
+                self._note_status,
+            ),
+        )
+        tasks.start(
+            "sheet-from-peers",
+            adopt_from_peers(
+                self.replica,
+                self._client,
+                self._clock,
+                self._peer_addresses,
+                lambda: self._log_failed or not self._is_at_end,
+                self._use_sheet,
+            ),
+        )
+
+    def _use_instances(self, membership: Membership) -> None:
+        self.membership.replace(membership)
+        self._on_change()
+
+    def _use_sheet(self, change: SheetChange) -> None:
+        self._on_sheet(change)
+        log_event(
+            _logger,
+            Event.SHEET_ACCEPTED,
+            sheet_version=change.sheet.version,
+            operator=change.operator,
+            digest=change.sheet.digest,
+        )
+        self._on_change()
+
+    def _note_status(self, status: FollowStatus) -> None:
+        failure = status.failure
+        if failure is not None and not self._log_failed:
+            log_event(
+                _logger, Event.LOG_UNREACHABLE, topic="sheet", detail=failure.detail
+            )
+        self._log_failed = failure is not None
+        self._is_at_end = status.is_at_end
+        self._on_change()
+
+    def _peer_addresses(self) -> list[str]:
+        return [
+            instance.http_address
+            for instance in self.membership.all()
+            if instance.name != self._addresses.instance
+        ]
