--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -90,17 +90,23 @@
     run(case)
 
 
-@pytest.mark.parametrize("n_nodes", [1, 5])
-def test_the_sheet_outlives_retention_with_few_records(n_nodes: int):
+@pytest.mark.parametrize(
+    ("n_nodes", "delay_s", "most"), [(1, 0.0, 7), (5, 0.0, 7), (5, 2.0, 10)]
+)
+def test_the_sheet_outlives_retention_with_few_records(
+    n_nodes: int, delay_s: float, most: int
+):
     # Guards against a sheet that disappears, and against every node writing it.
     async def case(fleet: Fleet) -> None:
         await fleet.publish(Sheet(), V1)
         await fleet.publish(V1, V2)
         for i in range(n_nodes):
             await fleet.start(f"node-{i}")
+        # Nodes that append within the delay do not see each other's record.
+        fleet.log.faults.delay_s = delay_s
         await fleet.pass_time(3.2 * RETENTION_S)
         assert fleet.log.values("sheet")[0]["kind"] == "carry-forward"
-        assert 5 <= fleet.log.n_appends - 2 <= 7
+        assert 5 <= fleet.log.n_appends - 2 <= most
         late = await fleet.start("late")
         assert late.replica.sheet == V2
         assert late.replica.is_anchored
@@ -147,6 +153,24 @@
     run(case)
 
 
+def test_a_gap_without_records_is_noted_and_a_late_loser_is_not_taken():
+    # Guards against a follower that reads the deleted offsets again and again.
+    async def case(fleet: Fleet) -> None:
+        await fleet.publish(Sheet(), V1)
+        node = await fleet.start("a")
+        fleet.log.faults.refuse_reads = True
+        await fleet.pass_time(10)
+        await fleet.publish(V1, V2)
+        fleet.log.expire_before("sheet", 2)
+        fleet.log.faults.refuse_reads = False
+        await fleet.pass_time(10)
+        assert (node.replica.next_offset, node.replica.is_anchored) == (2, False)
+        await fleet.publish(V1, sheet(2, club=9))
+        assert node.replica.sheet == V1
+
+    run(case)
+
+
 @pytest.mark.parametrize("retention_s", [0.0, -1.0])
 def test_a_retention_that_is_not_positive_is_refused(retention_s: float):
     with pytest.raises(ValueError, match="retention_s"):
--- a/tests/test_publishing.py
+++ b/tests/test_publishing.py
@@ -182,6 +182,7 @@
 def test_a_log_without_the_sheet_in_force_is_restarted_above_all_versions():
     async def case(rig: Rig) -> None:
         await rig.publish(V1, 0)
+        assert isinstance(await rig.publish(V2, 1, restart=True), NotPublished)
         await rig.publish(V2, 1)
         holder = SheetReplica()
         holder.apply_batch((await rig.log.read("sheet", 0, 0.0)).unwrap())
