Let children ask for their end with the parent themselves

A function between fork and exec (preexec_fn) deadlocked a child when another thread of the parent held a lock during the fork: a test run hung for ten minutes in the parent's read of the error pipe. The module 'child' now makes the call after exec.

--- a/tests/test_launcher.py
+++ b/tests/test_launcher.py
@@ -146,3 +146,24 @@
         assert not any(p.is_running for p in launcher.standins.values())
 
     run(scenario())
+
+
+def test_a_deployment_starts_survives_a_killed_agent_and_stops_gracefully():
+    async def scenario():
+        async with Launcher(DEPLOYMENTS["tiny"]) as launcher:
+            assert len(launcher.entry_urls) == 2
+            agent = launcher.nodes["model-1"]
+            before = dict(agent.program.announced)
+            await launcher.kill("model-1")
+            await launcher.restart_node("model-1")
+            assert agent.program.announced == before
+            agent.state = "leaving"
+            await launcher.list_instances()
+            await launcher.wait_state("model-1", "draining")
+            statuses = await launcher.stop_nodes()
+            assert set(statuses.values()) == {0}
+            assert len(statuses) == len(launcher.nodes)
+        assert not launcher.directory.exists()
+        assert psutil.Process().children() == []
+
+    run(scenario())
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -207,11 +207,14 @@
             for node in launcher.nodes.values()
             if node.role == role
         ]
-        rss_mib = max(p.memory_info().rss for p in processes) / 2**20
+        # Pages of libraries are shared by all processes of a machine.
+        memory = [p.memory_full_info() for p in processes]
+        rss_mib = max(m.rss for m in memory) / 2**20
+        uss_mib = max(m.uss for m in memory) / 2**20
         cpu_s = max(sum(p.cpu_times()[:2]) for p in processes)
         print(
-            f"{len(processes)} x {role}: at most {rss_mib:.0f} MiB resident, "
-            f"{cpu_s:.1f} s of CPU"
+            f"{len(processes)} x {role}: at most {rss_mib:.0f} MiB resident "
+            f"({uss_mib:.0f} MiB of its own), {cpu_s:.1f} s of CPU"
         )
 
 
--- a/tools/launcher.py
+++ b/tools/launcher.py
@@ -9,7 +9,7 @@
 import signal
 import sys
 import tempfile
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from contextlib import suppress
 from pathlib import Path
 from typing import Any
@@ -123,14 +123,25 @@
         return self.standins[instance].announced["address"]
 
     async def start(self) -> None:
-        """Start everything and wait until all nodes are ready."""
+        """Start everything and wait until all nodes are ready.
+
+        Without a sheet no node becomes ready, so it returns when all listen.
+        """
         await self.start_standins()
-        if self.options.publishes_sheet:
-            await self.publish_sheet(self.deployment.sheet)
         async with asyncio.TaskGroup() as group:
-            for instance in self.nodes:
+            if self.options.publishes_sheet:
+                group.create_task(self.publish_sheet(self.deployment.sheet))
+            for instance in self._instances(AGENT):
+                group.create_task(self.start_node(instance))
+        # Entries read the list at their start and then once a second, so agents
+        # that are listed before them are found a second earlier.
+        await self.list_instances()
+        async with asyncio.TaskGroup() as group:
+            for instance in self._instances(ENTRY):
                 group.create_task(self.start_node(instance))
         await self.list_instances()
+        if not self.options.publishes_sheet:
+            return
         async with asyncio.TaskGroup() as group:
             for instance in self.nodes:
                 group.create_task(self.wait_ready(instance))
@@ -157,24 +168,39 @@
 
     async def wait_ready(self, instance: str) -> None:
         """Wait until ``/readyz`` of a node returns 200."""
-        await self.wait_status(instance, "/readyz", 200)
+        await self._poll(instance, "/readyz", "200", lambda code, body: code == 200)
+
+    async def wait_state(self, instance: str, state: str) -> None:
+        """Wait until ``/control/status`` of a node shows a state."""
+        await self._poll(
+            instance,
+            "/control/status",
+            state,
+            lambda code, body: (
+                code == 200 and msgspec.json.decode(body)["state"] == state
+            ),
+        )
 
-    async def wait_status(self, instance: str, path: str, status: int) -> None:
-        """Wait until a node returns a status; its end is a LaunchError."""
+    async def _poll(
+        self,
+        instance: str,
+        path: str,
+        expected: str,
+        is_reached: Callable[[int, bytes], bool],
+    ) -> None:
+        """Ask a node until it answers as expected; its end is a LaunchError."""
         node = self.nodes[instance]
         url = f"http://{node.http_address}{path}"
         try:
             async with asyncio.timeout(START_TIMEOUT_S):
-                while await _status(url) != status:
-                    if not node.program.is_running:
-                        break
+                while node.program.is_running:
+                    if is_reached(*await _get(url)):
+                        return
                     await asyncio.sleep(POLL_S)
-                else:
-                    return
         except TimeoutError:
             pass
         raise LaunchError(
-            f"{node.program.name}: {path} did not return {status}: "
+            f"{node.program.name}: {path} did not show {expected}: "
             f"{node.program.log_tail()}"
         )
 
@@ -270,6 +296,9 @@
             await asyncio.gather(*(program.stop(timeout_s=0) for program in programs))
             shutil.rmtree(self.directory, ignore_errors=True)
 
+    def _instances(self, role: str) -> list[str]:
+        return [name for name, node in self.nodes.items() if node.role == role]
+
     def _standin_modules(self) -> dict[str, str]:
         kinds = {"model": "engine", "plain": "plain_service"}
         modules = {u.instance: kinds[u.kind] for u in self.deployment.upstreams}
@@ -293,13 +322,13 @@
         )
 
 
-async def _status(url: str) -> int:
-    """Return the status of a GET, or 0 if there was no answer."""
+async def _get(url: str) -> tuple[int, bytes]:
+    """Return status and body of a GET; status 0 if there was no answer."""
     # Connections of stopped instances are refused until their successor listens.
     with suppress(OSError):
         response = await AsyncHTTPClient().fetch(url, raise_error=False)
-        return int(response.code)
-    return 0
+        return int(response.code), response.body
+    return 0, b""
 
 
 async def _run(deployment: Deployment) -> None:
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -1,7 +1,6 @@
 """Child processes that announce their addresses on stdout when they listen."""
 
 import asyncio
-import ctypes
 import os
 import signal
 import sys
@@ -17,20 +16,13 @@
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 30.0
 
-_PR_SET_PDEATHSIG = 1
 _LOG_TAIL_BYTES = 2000
-_libc = ctypes.CDLL(None)
 
 
 class LaunchError(Exception):
     """A process did not start, or ended while something was expected from it."""
 
 
-def _end_with_parent() -> None:
-    # Without this, processes would outlive a parent that was killed.
-    _libc.prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
-
-
 class Program:
     """A child process of this one.
 
@@ -87,6 +79,8 @@
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
+                "child",
+                str(os.getpid()),
                 self.module,
                 *arguments,
                 stdin=asyncio.subprocess.DEVNULL,
@@ -96,7 +90,6 @@
                 # Ctrl-C in a terminal reaches the parent only, which then stops
                 # its children in order.
                 start_new_session=True,
-                preexec_fn=_end_with_parent,
             )
         stdout = self._process.stdout
         if stdout is None:
