--- a/src/pomelothread/agent/grants.py
+++ b/src/pomelothread/agent/grants.py
@@ -1,5 +1,6 @@
 """Offers that wait for a place, the grants made from them, and what runs."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from ..clock import Clock
@@ -160,7 +161,7 @@
             tier_rank=offer.tier_rank,
             organisation=offer.organisation,
             share=offer.share,
-            cost=float(offer.n_input_tokens + offer.n_output_tokens),
+            cost=_cost(offer),
         )
         return self.fill()
 
@@ -237,10 +238,11 @@
         if granted is None or granted.offer.request_id != request_id:
             return None
         now_s = self._clock.monotonic_s()
-        self._drop_grant(grant)
         if granted.expires_at_s <= now_s:
+            self._drop_grant(grant)
             self.n_expired += 1
             return None
+        self._take_out(grant)
         self._used_at_s[grant] = now_s
         place = Place(grant, granted.offer)
         self._running[grant] = place
@@ -293,7 +295,7 @@
             return replies
         now_s = self._clock.monotonic_s()
         while len(self.queue):
-            popped = self.queue.pop(self._fits)
+            popped = self.queue.pop(self._first_if_it_fits())
             if popped is None:
                 break
             _, offer = popped
@@ -308,12 +310,27 @@
         """Estimate how many more requests of any tier would get a place now."""
         return max(0, self.limit.n_places - self.n_taken)
 
+    def _first_if_it_fits(self) -> Callable[[Offer], bool]:
+        """Return a test that only the first offer in the queue can pass.
+
+        Otherwise a small request of a lower tier would overtake a protected one
+        that waits for context, and a long report could wait for ever.
+        """
+        is_first = True
+
+        def fits(offer: Offer) -> bool:
+            nonlocal is_first
+            if not is_first:
+                return False
+            is_first = False
+            return self._fits(offer)
+
+        return fits
+
     def _fits(self, offer: Offer) -> bool:
         taken = [granted.offer for granted in self._granted.values()]
         taken += [place.offer for place in self._running.values()]
-        if offer.solo and taken:
-            return False
-        if any(other.solo for other in taken):
+        if taken and (offer.solo or any(other.solo for other in taken)):
             return False
         return self.limit.allows(
             n_running=len(taken),
@@ -334,9 +351,20 @@
         message = Refuse(self._incarnation, offer.request_id, reason)
         return Reply(offer.incarnation, message)
 
-    def _drop_grant(self, grant: int) -> None:
+    def _take_out(self, grant: int) -> _Granted:
         granted = self._granted.pop(grant)
         self._granted_by_request.pop(granted.offer.request_id, None)
+        return granted
+
+    def _drop_grant(self, grant: int) -> None:
+        """Take back a grant that was not used, at no cost to its organisation."""
+        offer = self._take_out(grant).offer
+        self.queue.refund(
+            tier_rank=offer.tier_rank,
+            organisation=offer.organisation,
+            share=offer.share,
+            cost=_cost(offer),
+        )
 
     def _forget_used(self, now_s: float) -> None:
         # Grant numbers rise, so the dictionary is in order of use closely
@@ -347,3 +375,8 @@
                 return
             del self._used_at_s[grant]
             self._oldest_remembered = max(self._oldest_remembered, grant + 1)
+
+
+def _cost(offer: Offer) -> float:
+    """Return what an organisation is charged for a request, in tokens."""
+    return float(offer.n_input_tokens + offer.n_output_tokens)
--- a/src/pomelothread/entry/process.py
+++ b/src/pomelothread/entry/process.py
@@ -24,7 +24,14 @@
     Refuse,
     Revoked,
 )
-from ..peers.node import Tasks, announce, listen_http, new_incarnation, stop_event
+from ..peers.node import (
+    Tasks,
+    announce,
+    listen_http,
+    log_list_outage,
+    new_incarnation,
+    stop_event,
+)
 from ..peers.sheets import adopt_from_peers
 from ..peers.status import NodeStatus, StatusSource, status_routes
 from ..policy.crashes import CrashBook
@@ -84,8 +91,7 @@
         self._offers = Offers(
             self.incarnation, self._channel, self._agents, self._waiting, clock
         )
-        # Every waiting or running request may need one exchange.
-        self._client = ExchangeClient(max_exchanges=2 * settings.max_waiting)
+        self._client = ExchangeClient(max_exchanges=settings.max_running)
         self._attempts = Attempts(
             self.incarnation, self._channel, self._agents, self._client, clock
         )
@@ -124,7 +130,7 @@
         source = StatusSource(
             self.status, self.is_ready, self._replica.snapshot, self._metrics
         )
-        routes: list[Any] = caller_routes(self._scheduler) + status_routes(source)
+        routes: list[Any] = [*status_routes(source), *caller_routes(self._scheduler)]
         server, http_address = listen_http(routes, self._settings.http_address)
         log_event(
             _logger,
@@ -173,7 +179,10 @@
         tasks.start("control", self._receive())
         tasks.start("beats", self._beat())
         tasks.start(
-            "instances", follow_instances(listing, self._clock, self._use_instances)
+            "instances",
+            follow_instances(
+                listing, self._clock, self._use_instances, log_list_outage(self._clock)
+            ),
         )
         tasks.start(
             "sheet",
--- a/src/pomelothread/log/claim_records.py
+++ b/src/pomelothread/log/claim_records.py
@@ -71,7 +71,11 @@
 
 
 class Carried(msgspec.Struct, frozen=True, array_like=True, tag="carried"):
-    """Copy of a claim that retention would delete within the key's life."""
+    """Copy of a claim that retention would delete within the key's life.
+
+    `holder_is_gone` replaces the record by which the holder's successor has
+    shown itself, since retention deletes that one too.
+    """
 
     key_digest: bytes
     body_digest: bytes
@@ -80,6 +84,7 @@
     origin: int
     expires_at_ms: int
     abandoned: bool
+    holder_is_gone: bool = False
 
 
 ClaimRecord = Started | Claim | Abandoned | Done | Carried
