Give the bonus for a cached prefix to agents that are good enough

Cause: the first instance in rendezvous order was the best choice for only 12% of requests and not in the list for 40%, since predicted finish differs by seconds between engines and the saved prefill by tenths. Change: the bonus (ten times the saved prefill) goes to the first two of the agents within 1.5 times the best finish or, for unprotected work, half of the time left; delays of offers use the same scores.

--- a/src/pomelothread/policy/routing.py
+++ b/src/pomelothread/policy/routing.py
@@ -38,9 +38,13 @@
 # An agent is preferred for a cached prefix while its load is at most this many
 # times the mean load of the pool (consistent hashing with bounded loads).
 MAX_AFFINITY_LOAD = 1.25
+# An agent is good enough for a cached prefix up to this ratio to the best predicted
+# finish, or, for unprotected work, if it would use this share of the time left.
+GOOD_FINISH_RATIO = 1.5
+GOOD_SHARE_OF_TIME_LEFT = 0.5
 # Weight of prefill that is saved against time lost: prefill that is computed
 # twice also takes capacity from other requests.
-AFFINITY_WEIGHT = 3.0
+AFFINITY_WEIGHT = 10.0
 
 # The regions share 1.5 MB/s each way. A streamed token costs about 250 bytes as
 # a server-sent event, so an answer of 250 tokens takes 42 ms of the link.
@@ -185,15 +189,11 @@
     if not usable:
         return []
     rates = pool_rates(usable)
-    cached = _cached_tokens(request, usable)
+    scores = _scores_s(request, usable, rates, now_s)
     n_offers = MAX_OFFERS if request.protected else N_OFFERS
 
     def sort_key(agent: AgentView) -> tuple[float, int]:
-        n_cached = cached.get(agent.instance, 0)
-        finish_s = predict_finish_s(request, agent, rates, now_s, n_cached)
-        prefill_rate = agent.prefill_tokens_per_s or rates.prefill_tokens_per_s
-        bonus_s = (AFFINITY_WEIGHT - 1.0) * n_cached / prefill_rate
-        return finish_s - bonus_s, _weight(spread_seed, agent.instance)
+        return scores[agent.instance], _weight(spread_seed, agent.instance)
 
     own = [agent for agent in usable if agent.region == request.region]
     own.sort(key=sort_key)
@@ -236,12 +236,13 @@
         return []
     rates = pool_rates(chosen)
     finishes_s = [predict_finish_s(request, agent, rates, now_s) for agent in chosen]
+    scores = _scores_s(request, chosen, rates, now_s)
     best_has_place = predict_wait_s(request, chosen[0], rates, now_s) == 0.0
     slack_s = request.deadline_at_s - now_s - finishes_s[0]
     schedule = []
     for rank, agent in enumerate(chosen):
         is_late = now_s + finishes_s[rank] > request.deadline_at_s
-        extra_s = finishes_s[rank] - finishes_s[0]
+        extra_s = scores[agent.instance] - scores[chosen[0].instance]
         delay_s = offer_delay_s(rank, extra_s, slack_s, best_has_place, is_late)
         if agent.region != chosen[0].region:
             delay_s = max(delay_s, CROSS_REGION_DELAY_S)
@@ -308,30 +309,52 @@
     )
 
 
-def _cached_tokens(
-    request: RequestFacts, usable: Sequence[AgentView]
-) -> dict[str, int]:
-    """Predict which agent holds how many tokens of the prompt.
+def _scores_s(
+    request: RequestFacts, agents: Sequence[AgentView], rates: PoolRates, now_s: float
+) -> dict[str, float]:
+    """Return predicted finish by instance, less a bonus for a cached prefix.
 
-    The longest prefix that was seen before is held by the first instance in its
-    rendezvous order that is not overloaded. A prompt with no prefix that was
-    seen before is sent where its shortest one belongs, which costs nothing and
-    brings the next prompt like it to the same cache.
+    The bonus goes to the first two instances in the rendezvous order of the
+    prefix that are good enough. Predicted finish alone would nearly always
+    choose the fastest engines, whose caches cannot hold all prefixes.
     """
+    scores = {
+        agent.instance: predict_finish_s(request, agent, rates, now_s)
+        for agent in agents
+    }
     if not request.prefix_hashes:
-        return {}
-    n_seen = min(request.n_seen_prefixes, len(request.prefix_hashes))
-    prefix = request.prefix_hashes[max(0, n_seen - 1)]
-    n_tokens = (FIRST_PREFIX_CHARS << max(0, n_seen - 1)) // CHARS_PER_TOKEN
-    loads = {agent.instance: _load(agent) for agent in usable}
-    max_load = MAX_AFFINITY_LOAD * sum(loads.values()) / len(loads)
-    for agent in sorted(
-        usable, key=lambda agent: _weight(prefix, agent.instance), reverse=True
-    ):
-        is_near = agent.region == request.region
-        if is_near and loads[agent.instance] <= max(max_load, 1.0):
-            return {agent.instance: min(n_tokens, request.n_input_tokens)}
-    return {}
+        return scores
+    prefix, n_cached = _shared_prefix(request)
+    best_s = min(scores.values())
+    good_s = GOOD_FINISH_RATIO * best_s
+    if not request.protected:
+        left_s = request.deadline_at_s - now_s
+        good_s = max(good_s, GOOD_SHARE_OF_TIME_LEFT * left_s)
+    max_load = MAX_AFFINITY_LOAD * sum(map(_load, agents)) / len(agents)
+    good = [
+        agent
+        for agent in agents
+        if agent.region == request.region
+        and scores[agent.instance] <= good_s
+        and _load(agent) <= max(max_load, 1.0)
+    ]
+    good.sort(key=lambda agent: _weight(prefix, agent.instance), reverse=True)
+    for place, agent in enumerate(good[:2]):
+        prefill_rate = agent.prefill_tokens_per_s or rates.prefill_tokens_per_s
+        bonus_s = AFFINITY_WEIGHT * n_cached / prefill_rate
+        scores[agent.instance] = best_s - bonus_s / (1 + place)
+    return scores
+
+
+def _shared_prefix(request: RequestFacts) -> tuple[int, int]:
+    """Return the hash of the longest prefix seen before, and its tokens.
+
+    A prompt with no prefix that was seen before is sent where its shortest one
+    belongs, which brings the next prompt like it to the same cache.
+    """
+    n_seen = max(1, min(request.n_seen_prefixes, len(request.prefix_hashes)))
+    n_tokens = (FIRST_PREFIX_CHARS << (n_seen - 1)) // CHARS_PER_TOKEN
+    return request.prefix_hashes[n_seen - 1], min(n_tokens, request.n_input_tokens)
 
 
 def _load(agent: AgentView) -> float:
