Offer waiting unprotected work again every 5 s in the evaluation

Cause: choosing agents again twice a second had spread each waiting request over up to all ten agents, which the design limits to three. Change: the evaluation offers again every 5 s, protected work every 0.5 s.

--- a/tools/evaluate_policy.py
+++ b/tools/evaluate_policy.py
@@ -244,7 +244,7 @@
             for request in list(self.waiting.values()) if self.ours else ():
                 if is_hopeless(request.facts, self.views, self.now_s):
                     self.withdraw(request)
-                else:
+                elif request.facts.protected or self.n_reports % 100 == 1:
                     self.offer(request)
 
     def slow_down(self, agent: Agent) -> None:
