--- a/tools/fault_cases.py
+++ b/tools/fault_cases.py
@@ -106,15 +106,16 @@
         Takes the trial and the victim.
     victims : str
         ``entry``, ``agent``, ``engine``, ``plain``, ``upstream`` or "".
-    is_planned : bool
-        Whether it is a planned stop, which must interrupt nothing.
+    is_harmless : bool
+        Whether it must not cost any running request its answer: planned stops,
+        and faults of what running requests do not need.
     naive : bool
         Whether it exists for the naive scheduler, which has no agents.
     """
 
     inject: Inject
     victims: str = ""
-    is_planned: bool = False
+    is_harmless: bool = False
     naive: bool = True
 
 
@@ -335,13 +336,13 @@
 
 
 FAULTS: dict[str, Fault] = {
-    "none": Fault(_nothing),
+    "none": Fault(_nothing, is_harmless=True),
     "kill entry": Fault(_kill, "entry"),
     "pause entry": Fault(_pause, "entry"),
-    "stop entry": Fault(_terminate, "entry", is_planned=True, naive=False),
+    "stop entry": Fault(_terminate, "entry", is_harmless=True, naive=False),
     "kill agent": Fault(_kill, "agent", naive=False),
     "pause agent": Fault(_pause, "agent", naive=False),
-    "stop agent": Fault(_terminate, "agent", is_planned=True, naive=False),
+    "stop agent": Fault(_terminate, "agent", is_harmless=True, naive=False),
     "kill upstream": Fault(_kill, "upstream"),
     "pause upstream": Fault(_pause, "upstream"),
     "stop upstream": Fault(_terminate, "upstream"),
@@ -351,7 +352,7 @@
     "close after": Fault(_upstream_fault(close_after_effect=True, times=3), "upstream"),
     "cut": Fault(_upstream_fault(cut_after_chunks=3, times=3), "engine"),
     "stall": Fault(_upstream_fault(True, stall_after_tokens=3, times=2), "engine"),
-    "slow": Fault(_upstream_fault(slow_factor=10.0), "upstream"),
+    "slow": Fault(_upstream_fault(slow_factor=10.0), "upstream", is_harmless=True),
     "hang": Fault(_upstream_fault(True, hang=True), "upstream"),
     "slow pool": Fault(_slow_pool, naive=False),
     "log down": Fault(_platform_fault(LOG, down=True), naive=False),
@@ -360,15 +361,21 @@
     "log slow before": Fault(_platform_fault(LOG, delay_s=0.8), naive=False),
     "log slow after": Fault(_platform_fault(LOG, delay_answer_s=2.5), naive=False),
     "log hangs": Fault(_platform_fault(LOG, hang=True), naive=False),
-    "log expires": Fault(_expire, naive=False),
-    "list down": Fault(_platform_fault(INSTANCE_LIST, down=True), naive=False),
-    "list frozen": Fault(_platform_fault(INSTANCE_LIST, frozen=True), naive=False),
-    "list lags": Fault(_platform_fault(INSTANCE_LIST, lag_s=2.0), naive=False),
-    "leaving": Fault(_leave, "agent", naive=False),
+    "log expires": Fault(_expire, is_harmless=True, naive=False),
+    "list down": Fault(
+        _platform_fault(INSTANCE_LIST, down=True), is_harmless=True, naive=False
+    ),
+    "list frozen": Fault(
+        _platform_fault(INSTANCE_LIST, frozen=True), is_harmless=True, naive=False
+    ),
+    "list lags": Fault(
+        _platform_fault(INSTANCE_LIST, lag_s=2.0), is_harmless=True, naive=False
+    ),
+    "leaving": Fault(_leave, "agent", is_harmless=True, naive=False),
     "replaced": Fault(_replace, "agent", naive=False),
-    "two operators": Fault(_race, naive=False),
+    "two operators": Fault(_race, is_harmless=True, naive=False),
     "crash body": Fault(_crash_body),
-    "rolling": Fault(_roll, is_planned=True, naive=False),
+    "rolling": Fault(_roll, is_harmless=True, naive=False),
 }
 
 
--- a/tools/fault_checks.py
+++ b/tools/fault_checks.py
@@ -133,8 +133,8 @@
         After its load has ended.
     """
     told = trial.callers.told
-    is_planned = all(FAULTS[name].is_planned for name in trial.faults)
-    kills_entry = any(FAULTS[name].victims == "entry" for name in trial.faults)
+    is_harmless = all(FAULTS[name].is_harmless for name in trial.faults)
+    kills_entry = "kill entry" in trial.faults
     for answer in told:
         what = f"{answer.call.marker} of {answer.call.service}: {answer.detail}"
         match answer.outcome:
@@ -148,7 +148,7 @@
                 yield "untold", what
         if answer.detail == "order-running":
             continue
-        if is_planned and answer.outcome in {CUT, LOST, NOT_KNOWN, NOT_ACCEPTED}:
+        if is_harmless and answer.outcome in {CUT, LOST, NOT_KNOWN, NOT_ACCEPTED}:
             yield "stop", f"{answer.outcome}: {what}"
         if trial.faults == ("none",) and answer.outcome != RUN:
             yield "failure-free", f"{answer.outcome}: {what}"
