--- a/tools/fault_cases.py
+++ b/tools/fault_cases.py
@@ -35,24 +35,9 @@
 class Trial:
     """A trial while it runs.
 
-    Parameters
-    ----------
-    world : World
-        The deployment.
-    number : int
-        Number of the trial, by which it is replayed.
-    faults : tuple of str
-        Names of the faults, in the table `FAULTS`.
-    rng : random.Random
-        Chooses victims and moments.
-    prefix : str
-        Start of the markers of all its requests.
-    first_line : int
-        Where its part of the journal starts.
-    violations : list of (str, str)
-        Check and what was wrong, as found by the faults themselves.
-    leaving : list of (str, float, float)
-        Instance, when it was first shown as leaving, and until when.
+    All its markers start with `prefix`, and its part of the journal starts at
+    `first_line`. Faults add to `violations` what they find themselves, and to
+    `leaving` an instance, when it was first shown as leaving, and until when.
     """
 
     world: World
@@ -66,7 +51,6 @@
     is_loaded: bool = False
     violations: list[tuple[str, str]] = field(default_factory=list)
     leaving: list[tuple[str, float, float]] = field(default_factory=list)
-    crash_calls: list[Call] = field(default_factory=list)
 
     def n_received(self) -> int:
         """Return how many requests of this trial upstreams have received."""
@@ -100,17 +84,10 @@
 class Fault:
     """A row of the table.
 
-    Parameters
-    ----------
-    inject : callable
-        Takes the trial and the victim.
-    victims : str
-        ``entry``, ``agent``, ``engine``, ``plain``, ``upstream`` or "".
-    is_harmless : bool
-        Whether it must not cost any running request its answer: planned stops,
-        and faults of what running requests do not need.
-    naive : bool
-        Whether it exists for the naive scheduler, which has no agents.
+    `victims` is ``entry``, ``agent``, ``engine``, ``upstream`` or "". A harmless
+    fault must not cost a running request its answer: planned stops, and faults
+    of what running requests do not need. `naive` says whether it exists for the
+    naive scheduler, which has no agents.
     """
 
     inject: Inject
--- a/tools/fault_checks.py
+++ b/tools/fault_checks.py
@@ -56,15 +56,7 @@
 
 
 def check_receivers(told: list[Told], lines: list[Received]) -> Iterator[Violation]:
-    """Compare what upstreams received with what callers were told.
-
-    Parameters
-    ----------
-    told : list of Told
-        All answers of a trial.
-    lines : list of Received
-        Journal lines of all upstreams.
-    """
+    """Compare what upstreams received with what callers were told."""
     by_id = Counter(
         line.request_id
         for line in lines
@@ -125,13 +117,7 @@
 
 
 def check_answers(trial: Trial) -> Iterator[Violation]:
-    """Check the answers by themselves.
-
-    Parameters
-    ----------
-    trial : Trial
-        After its load has ended.
-    """
+    """Check the answers by themselves."""
     told = trial.callers.told
     is_harmless = all(FAULTS[name].is_harmless for name in trial.faults)
     kills_entry = "kill entry" in trial.faults
@@ -206,12 +192,8 @@
 def check_sheet_logs(world: World, seen: dict[str, int]) -> Iterator[Violation]:
     """Find a process whose sheet went back, or that became ready with an old one.
 
-    Parameters
-    ----------
-    world : World
-        The deployment; its nodes write their log events to files.
-    seen : dict of str to int
-        Length of each file that has been checked already; updated.
+    The nodes' log events are read from their files; `seen` holds the length of
+    each that has been checked already.
     """
     for name, node in world.launcher.nodes.items():
         path = node.program.log_path
--- a/tools/fault_load.py
+++ b/tools/fault_load.py
@@ -38,24 +38,9 @@
 class Call:
     """One request of a caller.
 
-    Parameters
-    ----------
-    service, organisation : str
-        As in the sheet.
-    rank : int
-        Rank of the service's tier.
-    marker : str
-        Occurs in the body, or in the path of a check.
-    pool : str
-        Pool of the service.
-    n_tokens : int
-        Output tokens of a chat completion; 0 for a plain service.
-    is_streamed : bool
-        Whether the response is streamed.
-    key : str
-        Idempotency-Key of an order, or "".
-    entry : int
-        Number of the entry that gets it, among those that accept.
+    `rank` is that of the service's tier, `marker` occurs in the body or in the
+    path, `n_tokens` is 0 for a plain service, `key` is the Idempotency-Key of an
+    order or "", and `entry` counts the entries that accept.
     """
 
     service: str
@@ -73,18 +58,8 @@
 class Told:
     """What the caller of a request was told.
 
-    Parameters
-    ----------
-    call : Call
-        The request.
-    outcome : str
-        One of the constants of this module.
-    detail : str
-        Status and problem type, or the error.
-    started_at_s, ended_at_s : float
-        Seconds since the epoch, comparable with the receivers' journals.
-    body : str
-        Response to an order.
+    Times are seconds since the epoch, comparable with the receivers' journals;
+    `body` is the response to an order.
     """
 
     call: Call
@@ -97,15 +72,7 @@
 
 @dataclass(slots=True)
 class Callers:
-    """Sends calls to the entries that accept them.
-
-    Parameters
-    ----------
-    entry_urls : callable
-        Returns the URLs of the entries, as a load balancer sees them.
-    told : list of Told
-        All answers, in the order in which they came.
-    """
+    """Sends calls to the entries that `entry_urls` returns, and keeps the answers."""
 
     entry_urls: Callable[[], list[str]]
     told: list[Told] = field(default_factory=list)
@@ -203,20 +170,7 @@
 
 
 def check_chat(call: Call, text: str) -> tuple[str, str, str]:
-    """Check the text of a response to a chat completion.
-
-    Parameters
-    ----------
-    call : Call
-        The request.
-    text : str
-        The body, which ended properly.
-
-    Returns
-    -------
-    tuple of (str, str, str)
-        Outcome, detail, and "".
-    """
+    """Return outcome, detail and "" for a completion whose body ended properly."""
     expected = answer_text(f"{call.marker} leg leg", call.n_tokens)
     if not call.is_streamed:
         try:
@@ -266,15 +220,7 @@
 
 
 def make_calls(rng: random.Random, prefix: str) -> list[Call]:
-    """Return the mixed load of a trial, in the order in which it is sent.
-
-    Parameters
-    ----------
-    rng : random.Random
-        Chooses sizes, entries and the order.
-    prefix : str
-        Start of all markers, unique to the trial.
-    """
+    """Return the mixed load of a trial, in the order in which it is sent."""
     calls: list[Call] = []
 
     def add(call: Call, n_calls: int) -> None:
--- a/tools/fault_trials.py
+++ b/tools/fault_trials.py
@@ -29,15 +29,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TrialPlan:
-    """What a trial consists of.
-
-    Parameters
-    ----------
-    seed, number : int
-        Of all trials, and of this one; together they repeat its choices.
-    faults : tuple of str
-        Names in `FAULTS`.
-    """
+    """What a trial consists of; seed and number repeat all its choices."""
 
     seed: int
     number: int
@@ -46,17 +38,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TrialResult:
-    """What came of a trial.
-
-    Parameters
-    ----------
-    plan : TrialPlan
-        The trial.
-    violations : list of (str, str)
-        Check and what was wrong.
-    outcomes : dict of str to int
-        Number of answers of each outcome.
-    """
+    """What came of a trial: violations by check, and answers by outcome."""
 
     plan: TrialPlan
     violations: list[Violation]
@@ -197,19 +179,7 @@
     launcher_type: type[Launcher],
     report: Callable[[TrialResult], None],
 ) -> list[TrialResult]:
-    """Run trials on several deployments at the same time.
-
-    Parameters
-    ----------
-    plans : list of TrialPlan
-        What to run.
-    n_worlds : int
-        Number of deployments.
-    launcher_type : type
-        What each deployment is started with.
-    report : callable
-        Called with each result.
-    """
+    """Run trials on `n_worlds` deployments at the same time; report each result."""
     results: list[TrialResult] = []
     waiting = iter(plans)
 
--- a/tools/fault_world.py
+++ b/tools/fault_world.py
@@ -16,7 +16,7 @@
 
 from deployments import DEPLOYMENTS, EXAMPLES, Deployment, EntryPlan, UpstreamPlan
 from fault_load import RUN, Call, Callers
-from launch_settings import AGENT, ENTRY, LIVE, LaunchOptions, Node
+from launch_settings import ENTRY, LIVE, LaunchOptions, Node
 from launcher import INSTANCE_LIST, LOG, POLL_S, Launcher
 
 PROBE_LIMIT_S = 30.0
@@ -64,13 +64,7 @@
 
 
 def fault_deployment(journals: Path) -> Deployment:
-    """Return two entries, two engines and two plain services of one pool.
-
-    Parameters
-    ----------
-    journals : Path
-        Directory for the journals of the receivers.
-    """
+    """Return two entries, two engines and two plain services of one pool."""
 
     def upstream(pool: str, number: int, domain: str, *arguments: str) -> UpstreamPlan:
         instance = f"{pool}-{number}"
@@ -106,13 +100,7 @@
 
 
 class World:
-    """A running deployment with switches, journals and restoration.
-
-    Parameters
-    ----------
-    launcher_type : type
-        `Launcher`, or one that starts something else in its place.
-    """
+    """A running deployment with switches, journals and restoration."""
 
     def __init__(self, launcher_type: type[Launcher] = Launcher) -> None:
         self._journals = Path(tempfile.mkdtemp(prefix="pomelothread-journals-"))
@@ -138,11 +126,6 @@
         await self.launcher.__aexit__(*exc_info)
         shutil.rmtree(self._journals, ignore_errors=True)
 
-    @property
-    def has_agents(self) -> bool:
-        """Whether the deployment runs the product, not the naive scheduler."""
-        return any(node.role == AGENT for node in self.launcher.nodes.values())
-
     def names(self, role: str) -> list[str]:
         """Return the nodes of a role."""
         return [n for n, node in self.launcher.nodes.items() if node.role == role]
@@ -211,10 +194,7 @@
     async def heal(self) -> str:
         """End all faults, start what has ended, and wait until all is served.
 
-        Returns
-        -------
-        str
-            What did not recover, or "".
+        Returns what did not recover, or "".
         """
         nodes = self.launcher.nodes
         for name in (*nodes, *self.upstream_names()):
