Repeat offers with a growing delay instead of with each heartbeat

Cause: at three times capacity each entry repeated and routed again all its waiting offers every 0.5 s and started a new task for each delayed offer each time. The entries were busy with that while granted places stayed unused. Change: an offer is repeated after 0.5, 1, 2, then 4 s, at most a quarter of the time left, and at once when an agent that held it is silent; one pending delayed offer for each agent; the views of a pool are built once for each pass.

--- a/src/pomelothread/entry/offers.py
+++ b/src/pomelothread/entry/offers.py
@@ -2,17 +2,27 @@
 
 import asyncio
 import zlib
+from math import inf
 
 from ..clock import Clock
 from ..outcomes import NotRun, Reason
 from ..peers.control import ControlChannel
 from ..peers.messages import Decline, Floor, Grant, Offer, Refuse, Withdraw
-from ..policy.routing import choose_agents, schedule_offers
+from ..policy.routing import AgentView, choose_agents, schedule_offers
 from .agents import AgentTable
 from .waiting import Binding, WaitingRequest, WaitingRequests, shed_outcome
 
 SHED_RETRY_AFTER_S = 2.0
 
+# An offer is repeated in case the message was lost, and routed again because
+# conditions change. Repeating all offers with each heartbeat took 33.7 MB of
+# control messages in 40 s with about a thousand waiting requests, and delayed
+# the answers to grants so much that upstreams were idle for most of the time.
+REPEAT_MIN_S = 0.5
+REPEAT_MAX_S = 4.0
+# A request near its deadline is routed again a few times before it.
+REPEAT_MAX_SHARE_OF_LEFT = 0.25
+
 
 class Offers:
     """Offers waiting requests and binds each to the first grant.
@@ -63,11 +73,13 @@
         Agents that have its offer already get it again, because a control
         message may be lost.
         """
+        self._offer_to(request, self._agents.views(request.pool))
+
+    def _offer_to(self, request: WaitingRequest, pool_views: list[AgentView]) -> None:
         now_s = self._clock.monotonic_s()
+        self._set_repeat(request, now_s)
         views = [
-            view
-            for view in self._agents.views(request.pool)
-            if view.incarnation not in request.excluded
+            view for view in pool_views if view.incarnation not in request.excluded
         ]
         spread_seed = zlib.crc32(request.request_id.encode())
         chosen = choose_agents(request.facts, views, now_s, spread_seed=spread_seed)
@@ -80,6 +92,10 @@
             if scheduled.delay_s <= 0:
                 self._send(request, agent.incarnation, agent.inbox)
                 continue
+            due_s = now_s + scheduled.delay_s
+            if request.due_s.get(agent.incarnation, inf) <= due_s:
+                continue
+            request.due_s[agent.incarnation] = due_s
             task = asyncio.create_task(
                 self._send_later(
                     request, agent.incarnation, agent.inbox, scheduled.delay_s
@@ -88,11 +104,28 @@
             self._delayed.add(task)
             task.add_done_callback(self._delayed.discard)
 
-    def offer_all(self) -> None:
-        """Repeat the offers of all waiting requests."""
+    def repeat_due(self) -> None:
+        """Repeat the offers that are due, or that a silent agent held."""
+        now_s = self._clock.monotonic_s()
+        views: dict[str, list[AgentView]] = {}
         for request in self._waiting:
-            self._drop_silent(request)
-            self.offer(request)
+            is_held = not self._drop_silent(request)
+            if is_held and now_s < request.repeat_at_s:
+                continue
+            if request.pool not in views:
+                views[request.pool] = self._agents.views(request.pool)
+            self._offer_to(request, views[request.pool])
+
+    def _set_repeat(self, request: WaitingRequest, now_s: float) -> None:
+        left_s = request.deadline_at_s - now_s
+        delay_s = min(
+            REPEAT_MIN_S * 2.0**request.n_repeats,
+            REPEAT_MAX_S,
+            max(REPEAT_MIN_S, REPEAT_MAX_SHARE_OF_LEFT * left_s),
+        )
+        # The caller comes with each heartbeat; half of a period is the tolerance.
+        request.repeat_at_s = now_s + delay_s - REPEAT_MIN_S / 2
+        request.n_repeats += 1
 
     def withdraw(self, request: WaitingRequest, except_at: str = "") -> None:
         """Take back the offers of a request.
@@ -159,11 +192,12 @@
         request.settle(outcome)
         self.withdraw(request)
 
-    def _drop_silent(self, request: WaitingRequest) -> None:
-        for incarnation in list(request.offered):
-            if self._agents.is_silent(incarnation):
-                del request.offered[incarnation]
-                self._count(incarnation, -1)
+    def _drop_silent(self, request: WaitingRequest) -> bool:
+        silent = [i for i in request.offered if self._agents.is_silent(i)]
+        for incarnation in silent:
+            del request.offered[incarnation]
+            self._count(incarnation, -1)
+        return bool(silent)
 
     def _send(self, request: WaitingRequest, incarnation: str, inbox: str) -> None:
         if incarnation not in request.offered:
@@ -192,6 +226,7 @@
         self, request: WaitingRequest, incarnation: str, inbox: str, delay_s: float
     ) -> None:
         await self._clock.sleep(delay_s)
+        request.due_s.pop(incarnation, None)
         still_waits = self._waiting.get(request.request_id) is request
         if still_waits and incarnation not in request.offered:
             self._send(request, incarnation, inbox)
--- a/src/pomelothread/entry/process.py
+++ b/src/pomelothread/entry/process.py
@@ -200,7 +200,7 @@
         """Send heartbeats and repeat open offers."""
         while True:
             self._send_beats()
-            self._offers.offer_all()
+            self._offers.repeat_due()
             for gone in self._agents.forget_silent():
                 self._channel.forget(gone.beat.inbox)
             self._update_readiness()
--- a/src/pomelothread/entry/waiting.py
+++ b/src/pomelothread/entry/waiting.py
@@ -59,6 +59,9 @@
     )
     offered: dict[str, str] = field(default_factory=dict)
     excluded: set[str] = field(default_factory=set)
+    due_s: dict[str, float] = field(default_factory=dict)
+    n_repeats: int = 0
+    repeat_at_s: float = 0.0
 
     @property
     def protected(self) -> bool:
