Never call an order 'not run' when it may have run earlier

Cause: two answers to a repeated key said 'not run' although the order had run. If the stored response could not be read, the claim was reported as unavailable; and an agent that started during an outage of the log knew no claims and reported the same. Both now say 'not known', with when to ask again: the first as DoneUnreadable, the second if the topic of claims was never read to its end. A response that was too large to be stored is asked for at the upstream; before, the caller got its status with an empty body.

Ruled out: treating every unavailable claim as not known. An agent that has read all claims knows that the key was not used, and 'not run' with Retry-After is then the truth that lets a caller go elsewhere.

--- a/src/pomelothread/agent/orders.py
+++ b/src/pomelothread/agent/orders.py
@@ -16,6 +16,7 @@
     ClaimNotKnown,
     ClaimToken,
     ClaimUnavailable,
+    DoneUnreadable,
     KeyExpired,
     KeyNotDated,
     KeyReused,
@@ -128,8 +129,10 @@
         match result:
             case Claimed(token=token):
                 return token
-            case AlreadyDone(run=run):
-                return run
+            case AlreadyDone(run=run, body_omitted=body_omitted):
+                return await self._replayed(dispatch, service, run, body_omitted)
+            case DoneUnreadable(retry_after_s=retry_after_s):
+                return _unreadable(url, retry_after_s)
             case AlreadyRunning() if self._order_id(dispatch) in self._lost:
                 return await self._ask_upstream(dispatch, service)
             case AlreadyRunning():
@@ -149,6 +152,12 @@
                 return NotRun(Reason.KEY_NOT_DATED, detail)
             case ClaimNotKnown():
                 return await self._ask_upstream(dispatch, service)
+            case ClaimUnavailable(retry_after_s=retry_after_s, is_history_known=False):
+                detail = (
+                    "The log cannot be read. This request did not run; whether an"
+                    " earlier one with the same key did is not known now."
+                )
+                return NotKnown(Reason.LOG_UNAVAILABLE, detail, url, retry_after_s)
             case ClaimUnavailable(retry_after_s=retry_after_s):
                 log_event(
                     _logger,
@@ -157,7 +166,10 @@
                     service=dispatch.service,
                     detail="the claim was not confirmed in time",
                 )
-                detail = "The key could not be claimed on the log; it did not run."
+                detail = (
+                    "The key could not be claimed on the log, so this request did not"
+                    f" run. If an earlier one used the key, ask at {url}."
+                )
                 return NotRun(Reason.LOG_UNAVAILABLE, detail, retry_after_s)
 
     async def lookup(
@@ -182,8 +194,10 @@
         dispatch = _question(service, key, organisation)
         url = self.status_url(dispatch)
         match await self._claimant.lookup(service.name, key, organisation):
-            case AlreadyDone(run=run):
-                return run
+            case AlreadyDone(run=run, body_omitted=body_omitted):
+                return await self._replayed(dispatch, service, run, body_omitted)
+            case DoneUnreadable(retry_after_s=retry_after_s):
+                return _unreadable(url, retry_after_s)
             case AlreadyRunning() if self._order_id(dispatch) not in self._lost:
                 return NotKnown(
                     Reason.ORDER_RUNNING, "The order is running.", url, ASK_AGAIN_S
@@ -252,6 +266,18 @@
             self._lost.discard(self._order_id(dispatch))
             return
 
+    async def _replayed(
+        self, dispatch: Dispatch, service: Service, run: Run, body_omitted: bool
+    ) -> Run | NotKnown:
+        """Return a stored response, or the upstream's if it was too large."""
+        if not body_omitted:
+            return run
+        found = await self._look_up(dispatch, service)
+        if found is not None:
+            return found
+        detail = "The order ran; its response was too large to be kept."
+        return NotKnown(Reason.ANSWER_LOST, detail, self.status_url(dispatch))
+
     async def _ask_upstream(
         self, dispatch: Dispatch, service: Service
     ) -> Run | NotKnown:
@@ -283,6 +309,11 @@
         return dispatch.organisation, dispatch.service, dispatch.key
 
 
+def _unreadable(url: str, retry_after_s: float) -> NotKnown:
+    detail = "The order ran; its stored response cannot be read now."
+    return NotKnown(Reason.LOG_UNAVAILABLE, detail, url, retry_after_s)
+
+
 def _question(service: Service, key: str, organisation: str) -> Dispatch:
     return Dispatch(
         request_id="",
--- a/src/pomelothread/log/claim_results.py
+++ b/src/pomelothread/log/claim_results.py
@@ -45,6 +45,13 @@
     body_omitted: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class DoneUnreadable:
+    """The order has run, but its stored response cannot be read now."""
+
+    retry_after_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class AlreadyRunning:
     """The order is being run, or is just being claimed."""
@@ -72,9 +79,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimUnavailable:
-    """Nothing was decided; this attempt is not dispatched now or later."""
+    """Nothing was decided; this attempt is not dispatched now or later.
+
+    `is_history_known` says whether the topic had been read to its end at some
+    time. Without that, an earlier request with the same key may have run.
+    """
 
     retry_after_s: float
+    is_history_known: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,6 +102,7 @@
 ClaimResult = (
     Claimed
     | AlreadyDone
+    | DoneUnreadable
     | AlreadyRunning
     | KeyReused
     | KeyExpired
@@ -99,6 +112,7 @@
 )
 LookupResult = (
     AlreadyDone
+    | DoneUnreadable
     | AlreadyRunning
     | ClaimAbandoned
     | ClaimNotKnown
--- a/src/pomelothread/log/claims.py
+++ b/src/pomelothread/log/claims.py
@@ -27,6 +27,7 @@
     ClaimResult,
     ClaimToken,
     ClaimUnavailable,
+    DoneUnreadable,
     KeyReused,
     LookupResult,
     NeverSeen,
@@ -344,17 +345,19 @@
 
     async def _replay(
         self, digest: bytes, entry: KeyEntry
-    ) -> AlreadyDone | ClaimUnavailable:
+    ) -> AlreadyDone | DoneUnreadable:
         if (done := self._held.finishing.get(digest)) is not None:
             return AlreadyDone(run_of(done), done.body_omitted)
         match await self._responses.fetch(digest, entry):
             case Success(done):
                 return AlreadyDone(run_of(done), done.body_omitted)
             case _:
-                return self._unavailable()
+                return DoneUnreadable(self._unavailable().retry_after_s)
 
     def _unavailable(self) -> ClaimUnavailable:
-        return ClaimUnavailable(max(MIN_RETRY_AFTER_S, self._writer.delay_left_s))
+        return ClaimUnavailable(
+            max(MIN_RETRY_AFTER_S, self._writer.delay_left_s), self.tail.is_caught_up
+        )
 
     def _abandon_unheld(self, digest: bytes) -> None:
         entry = self.ledger.entries.get(digest)
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -223,3 +223,24 @@
     finally:
         httpx2.post(url, json={"down": False})
     assert "k-4" not in site.state("ledger-1")["effects"]
+
+
+def test_an_order_that_ran_is_never_called_not_run_after_all_agents_were_replaced(site):
+    launcher = site.launcher
+    first = site.order("k-5")
+    while first.status_code == 503:  # The agent still backs off from an outage.
+        first = site.order("k-5")
+    assert first.status_code == 201
+    url = f"http://{launcher.log_address}/_faults"
+    site.run(launcher.kill("ledger-1"))
+    httpx2.post(url, json={"down": True})
+    try:
+        # The new agent takes the sheet from a peer and knows no claims.
+        site.run(launcher.restart_node("ledger-1"))
+        answers = [site.order("k-5") for _ in range(3)]
+    finally:
+        httpx2.post(url, json={"down": False})
+    for answer in answers:
+        assert answer.json()["outcome"] == "not-known"
+        assert int(answer.headers["Retry-After"]) >= 1
+    assert site.state("ledger-1")["effects"]["k-5"] == 1
