Ask the other agents about an order whose answer was lost

Cause: GET /v1/orders asked one agent. For an order whose agent was killed, each agent can only look in its own upstream, so it answered 'not known' although a repeat at the other agent had been answered with the response before. Ruled out: a lost record; the answers of the failing trials are 'not known', 'run, replayed', 'not known', in turn with the agent that was asked. Change: the entry goes on to the next agent after 'answer-lost'.

--- a/src/pomelothread/entry/orders.py
+++ b/src/pomelothread/entry/orders.py
@@ -33,7 +33,10 @@
     service: Service,
     key: str,
 ) -> Run | NotRun | NotKnown:
-    """Ask the agents of a pool in turn until one answers.
+    """Ask the agents of a pool in turn until one knows.
+
+    All agents read the same log, but each can ask only its own upstream about
+    an order whose answer was lost, so the others are asked after it.
 
     Parameters
     ----------
@@ -56,6 +59,8 @@
     """
     path = order_url(service.name, key)
     query = f"organisation={quote(organisation, safe='')}"
+    detail = "No agent of the service's pool could be asked."
+    not_known = NotKnown(Reason.NO_UPSTREAM, detail, path)
     for agent in agents:
         exchange = client.open_exchange(
             "GET",
@@ -78,11 +83,12 @@
                 retry_after_s = RETRY_AFTER_S if reason != Reason.UNKNOWN_KEY else None
                 return NotRun(reason, "", retry_after_s)
             case value if value == NOT_KNOWN:
-                return NotKnown(reason, "The order may have run.", path)
+                not_known = NotKnown(reason, "The order may have run.", path)
+                if reason != Reason.ANSWER_LOST:
+                    return not_known
             case _:
                 continue
-    detail = "No agent of the service's pool could be asked."
-    return NotKnown(Reason.NO_UPSTREAM, detail, path)
+    return not_known
 
 
 def _reason(name: str) -> Reason:
--- a/tools/fault_load.py
+++ b/tools/fault_load.py
@@ -118,6 +118,7 @@
                 method, url + path, headers=_headers(call), json=body
             ) as response:
                 status = response.status_code
+                replayed = response.headers.get("Idempotent-Replayed", "")
                 async for chunk in response.aiter_raw():
                     received.append(chunk)
         except (httpx2.ConnectError, httpx2.ConnectTimeout) as error:
@@ -129,7 +130,8 @@
             return _problem(status, text)
         if call.n_tokens:
             return check_chat(call, text)
-        return _check_plain(call, text)
+        outcome, detail, body_text = _check_plain(call, text)
+        return outcome, detail or ("replayed" if replayed else ""), body_text
 
 
 def _headers(call: Call) -> dict[str, str]:
--- a/tools/fault_trials.py
+++ b/tools/fault_trials.py
@@ -150,7 +150,13 @@
         found.add(call.key)
         status, text = await trial.callers.order_status(call)
         if not 200 <= status < 300 or call.key not in text:
-            yield "lost order", f"{call.marker} ran, but now: {status} {text[:100]}"
+            answers = [
+                f"{other.outcome} {other.detail} at {other.ended_at_s:.3f}"
+                for other in trial.callers.told
+                if other.call.key == call.key
+            ]
+            detail = f"{call.marker}: told {answers}, now {status} {text[:60]}"
+            yield "lost order", detail
         trial.world.known_orders[call] = told.body
 
 
