Judge agents by run time and by the gap of some 25 steps

Cause: the reported time between tokens was an average of about three steps, which jumps fourfold with each prompt in the batch; predicted waits vary too, so the good enough agents changed from report to report. Change: PlaceLimit.mean_gap_s for reports and can_finish; good enough is judged without the wait.

--- a/src/pomelothread/policy/places.py
+++ b/src/pomelothread/policy/places.py
@@ -16,6 +16,7 @@
 
 # Share of the difference that one decoding step moves the averages by.
 RECENT_WEIGHT = 0.3
+MEAN_WEIGHT = 0.04
 BASELINE_WEIGHT_UP = 0.005
 BASELINE_WEIGHT_DOWN = 0.05
 
@@ -67,6 +68,7 @@
         "_limit",
         "_max_context_tokens",
         "_maximum",
+        "_mean_gap_s",
         "_minimum",
         "_n_engine_waiting",
         "_n_prefilling",
@@ -113,6 +115,7 @@
         # a prompt takes several times as long, and is not a stall.
         self._baseline_gaps_s = [0.0, 0.0]
         self._recent_gap_s = 0.0
+        self._mean_gap_s = 0.0
         self._recent_ratio = 1.0
         self._n_prefilling = 0
         self._last_token_at_s: float | None = None
@@ -144,6 +147,15 @@
         """Average time between tokens of the last few steps; 0 if unknown."""
         return self._recent_gap_s
 
+    @property
+    def mean_gap_s(self) -> float:
+        """Average time between tokens of some 25 steps; 0 if unknown.
+
+        For heartbeats and `can_finish`. The average of a few steps jumps about
+        fourfold with each prompt that joins the batch.
+        """
+        return self._mean_gap_s
+
     @property
     def baseline_gap_s(self) -> float:
         """Long-term average of the time between tokens; 0 if unknown.
@@ -181,7 +193,8 @@
         # Every step of the engine gives one gap for each stream.
         weight = RECENT_WEIGHT / n_streams
         if self._recent_gap_s == 0.0:
-            self._recent_gap_s = gap_s
+            self._recent_gap_s = self._mean_gap_s = gap_s
+        self._mean_gap_s += MEAN_WEIGHT / n_streams * (gap_s - self._mean_gap_s)
         self._recent_gap_s += weight * (gap_s - self._recent_gap_s)
         kind = int(n_prefilling > 0)
         baseline_s = self._baseline_gaps_s[kind] or gap_s
--- a/src/pomelothread/policy/routing.py
+++ b/src/pomelothread/policy/routing.py
@@ -14,6 +14,7 @@
     RequestFacts,
     pool_rates,
     predict_finish_s,
+    predict_run_s,
     predict_wait_s,
 )
 
@@ -38,9 +39,9 @@
 # An agent is preferred for a cached prefix while its load is at most this many
 # times the mean load of the pool (consistent hashing with bounded loads).
 MAX_AFFINITY_LOAD = 1.25
-# An agent is good enough for a cached prefix up to this ratio to the best predicted
-# finish, or, for unprotected work, if it would use this share of the time left.
-GOOD_FINISH_RATIO = 1.5
+# An agent is good enough for a cached prefix up to this ratio to the shortest
+# predicted run, or, for unprotected work, if it would use this share of the time left.
+GOOD_RUN_RATIO = 1.5
 GOOD_SHARE_OF_TIME_LEFT = 0.5
 # Weight of prefill that is saved against time lost: prefill that is computed
 # twice also takes capacity from other requests.
@@ -326,7 +327,10 @@
         return scores
     prefix, n_cached = _shared_prefix(request)
     best_s = min(scores.values())
-    good_s = GOOD_FINISH_RATIO * best_s
+    # Time to run, without that to wait: under load the predicted waits change
+    # from report to report, and the choice of instances would change with them.
+    runs_s = {agent.instance: predict_run_s(request, agent, rates) for agent in agents}
+    good_s = GOOD_RUN_RATIO * min(runs_s.values())
     if not request.protected:
         left_s = request.deadline_at_s - now_s
         good_s = max(good_s, GOOD_SHARE_OF_TIME_LEFT * left_s)
@@ -335,7 +339,7 @@
         agent
         for agent in agents
         if agent.region == request.region
-        and scores[agent.instance] <= good_s
+        and runs_s[agent.instance] <= good_s
         and _load(agent) <= max(max_load, 1.0)
     ]
     good.sort(key=lambda agent: _weight(prefix, agent.instance), reverse=True)
--- a/tools/evaluate_policy.py
+++ b/tools/evaluate_policy.py
@@ -87,7 +87,7 @@
             *(self.name, self.name, "", "p", "f", "r", "", "open"),
             *(self.sim.now_s + REPORT_LAG_S, n_places),
             *(max(0, n_places - len(self.granted)), counts, 0),
-            *(self.places.recent_gap_s, self.prefill_rate, self.service_s),
+            *(self.places.mean_gap_s, self.prefill_rate, self.service_s),
         )
 
     def counts(self) -> tuple[int, int]:
@@ -101,7 +101,7 @@
         if self.sim.ours and not facts.protected and not can_finish(
             facts.n_input_tokens, facts.n_output_tokens,
             facts.deadline_at_s - self.sim.now_s,
-            self.places.recent_gap_s, self.prefill_rate,
+            self.places.mean_gap_s, self.prefill_rate,
         ):  # fmt: skip
             return False
         return bool(self.places.allows(*self.counts(), n_tokens, cost, facts.protected))
--- a/tools/naive_policy.py
+++ b/tools/naive_policy.py
@@ -89,6 +89,7 @@
 
     n_reserved = 0
     recent_gap_s = 0.0
+    mean_gap_s = 0.0
     baseline_gap_s = 0.0
 
     def __init__(self, n_places: int = BATCH_SIZE) -> None:
