Log every event of the catalogue, and drop three that nothing produced

Cause: 18 of the catalogue's 49 events had no caller, so an operator would have waited for lines that never come. Fifteen are logged now, among them floors, crash verdicts, ignored sheets, the end of a log outage and changed places; expired grants stay a metric. A test asks that every event has a caller.

A process also counts its sheet as current only if it is certain to be the one in force at the end of the topic (is_anchored): after a gap left by retention, a late loser of a race could otherwise be taken for the sheet in force. Until then it asks its peers.

--- a/src/pomelothread/agent/crash_reports.py
+++ b/src/pomelothread/agent/crash_reports.py
@@ -1,16 +1,20 @@
 """Finding out whether the upstream died, and telling the fleet what it ran."""
 
 import asyncio
+import logging
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
 from returns.result import Success
 
 from ..clock import Clock
+from ..events import Event, log_event
 from ..log.records import LogClient, LogRecord
 from ..peers.waiting import wait_at_most
 from ..policy.crashes import CRASH_TOPIC, CrashBook
 
+_logger = logging.getLogger(__name__)
+
 # A process that died refuses connections at once; one that only closed a
 # connection accepts new ones. The looks cover a port that is still closing.
 N_PROBES = 5
@@ -91,7 +95,20 @@
 
     def fold(self, record: LogRecord) -> None:
         """Take in a record of any agent."""
-        self._crashes.fold(record.value)
+        if not self._crashes.fold(record.value):
+            log_event(
+                _logger,
+                Event.LOG_RECORD_SKIPPED,
+                offset=record.offset,
+                topic=record.topic,
+                detail="malformed or of a newer format",
+            )
+
+    def note_gap(self, n_expired: int) -> None:
+        """Take in that retention deleted records before they were read."""
+        log_event(
+            _logger, Event.LOG_RECORDS_EXPIRED, n_expired=n_expired, topic=CRASH_TOPIC
+        )
 
     def _keep(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = asyncio.create_task(coroutine)
@@ -112,6 +129,10 @@
     def _report(self, running: list[str]) -> None:
         now_s = self._clock.monotonic_s()
         verdict = self._crashes.engine_died(running, now_s)
+        for fingerprint in verdict.suspects:
+            log_event(_logger, Event.CRASH_SUSPECT, fingerprint=fingerprint)
+        for fingerprint in verdict.convicted:
+            log_event(_logger, Event.CRASH_CONVICTED, fingerprint=fingerprint)
         self._tell_entries()
         if verdict.record is not None:
             self.append(verdict.record)
--- a/src/pomelothread/agent/orders.py
+++ b/src/pomelothread/agent/orders.py
@@ -1,6 +1,7 @@
 """Orders: requests whose key is claimed on the log before they run."""
 
 import asyncio
+import hashlib
 import logging
 from collections.abc import Callable
 from typing import Any
@@ -136,9 +137,22 @@
             case AlreadyRunning() if self._order_id(dispatch) in self._lost:
                 return await self._ask_upstream(dispatch, service)
             case AlreadyRunning():
+                log_event(
+                    _logger,
+                    Event.CLAIM_CONFLICT,
+                    key_digest=_key_digest(dispatch.key),
+                    service=dispatch.service,
+                )
                 detail = "The order with this key is running; ask for its outcome."
                 return NotKnown(Reason.ORDER_RUNNING, detail, url, ASK_AGAIN_S)
             case KeyReused():
+                log_event(
+                    _logger,
+                    Event.KEY_REUSED,
+                    key_digest=_key_digest(dispatch.key),
+                    service=dispatch.service,
+                    organisation=dispatch.organisation,
+                )
                 detail = "The key belongs to an order with another body."
                 return NotRun(Reason.KEY_REUSED, detail)
             case KeyExpired():
@@ -151,6 +165,12 @@
                 detail = "The key must be a UUIDv7 whose time is not in the future."
                 return NotRun(Reason.KEY_NOT_DATED, detail)
             case ClaimNotKnown():
+                log_event(
+                    _logger,
+                    Event.CLAIM_UNFINISHED,
+                    key_digest=_key_digest(dispatch.key),
+                    service=dispatch.service,
+                )
                 return await self._ask_upstream(dispatch, service)
             case ClaimUnavailable(retry_after_s=retry_after_s, is_history_known=False):
                 detail = (
@@ -162,7 +182,7 @@
                 log_event(
                     _logger,
                     Event.CLAIM_UNAVAILABLE,
-                    key_digest=quote(dispatch.key)[:16],
+                    key_digest=_key_digest(dispatch.key),
                     service=dispatch.service,
                     detail="the claim was not confirmed in time",
                 )
@@ -309,6 +329,11 @@
         return dispatch.organisation, dispatch.service, dispatch.key
 
 
+def _key_digest(key: str) -> str:
+    """Name a key in the log file without showing it."""
+    return hashlib.blake2b(key.encode(), digest_size=8).hexdigest()
+
+
 def _unreadable(url: str, retry_after_s: float) -> NotKnown:
     detail = "The order ran; its stored response cannot be read now."
     return NotKnown(Reason.LOG_UNAVAILABLE, detail, url, retry_after_s)
--- a/src/pomelothread/agent/process.py
+++ b/src/pomelothread/agent/process.py
@@ -80,6 +80,7 @@
         self.incarnation = new_incarnation()
         self._http_address = ""
         self._is_stopping = False
+        self._n_places_logged = settings.places.initial
         self._is_ready = False
         self._leaving_said_by_entries: set[str] = set()
         self._entries: dict[str, tuple[str, float]] = {}
@@ -229,7 +230,13 @@
 
     def _start_tasks(self, tasks: Tasks) -> None:
         settings = self._settings
-        crash_tail = LogTail(self._log, CRASH_TOPIC, self._clock, self._reports.fold)
+        crash_tail = LogTail(
+            self._log,
+            CRASH_TOPIC,
+            self._clock,
+            self._reports.fold,
+            self._reports.note_gap,
+        )
         tasks.start("control", self._receive())
         tasks.start("beats", self._beat())
         tasks.start("places", self._watch_places())
@@ -256,11 +263,18 @@
                     replies = self._grants.revoke(message)
                 case RaiseFloor():
                     replies = self._grants.raise_floor(message)
+                    log_event(
+                        _logger,
+                        Event.FLOOR_RAISED,
+                        pool=message.pool,
+                        tier_rank=message.tier_rank,
+                        n_refused=len(replies) - 1,
+                    )
                 case EntryBeat():
                     self._hear_entry(message)
                     replies = []
                 case _:
-                    self._channel.n_dropped += 1
+                    self._channel.n_unknown += 1
                     replies = []
             self._send_replies(replies)
 
@@ -269,8 +283,24 @@
         while True:
             self._forget_silent_entries()
             self._send_beats()
+            self._channel.log_unknown()
+            self._log_places()
             await self._clock.sleep(BEAT_PERIOD_S)
 
+    def _log_places(self) -> None:
+        limit = self._grants.limit
+        n_places = limit.n_places
+        if n_places == self._n_places_logged:
+            return
+        log_event(
+            _logger,
+            Event.PLACE_LIMIT_CHANGED,
+            n_places_before=self._n_places_logged,
+            n_places=n_places,
+            token_gap_s=round(limit.recent_gap_s, 4),
+        )
+        self._n_places_logged = n_places
+
     def _send_beats(self) -> None:
         beat = self._agent_beat()
         for inbox, _ in self._entries.values():
--- a/src/pomelothread/entry/agents.py
+++ b/src/pomelothread/entry/agents.py
@@ -1,8 +1,10 @@
 """The agents that an entry hears, from their heartbeats."""
 
+import logging
 from dataclasses import dataclass
 
 from ..clock import Clock
+from ..events import Event, log_event
 from ..instance_list.membership import Membership
 from ..peers.messages import (
     CLOSED,
@@ -12,6 +14,8 @@
 )
 from ..policy.routing import AgentView
 
+_logger = logging.getLogger(__name__)
+
 # Five heartbeats of 0.5 s.
 AGENT_SILENCE_S = 2.5
 # A silent agent is forgotten after this; until then its late grants and
@@ -50,12 +54,13 @@
         agent itself does.
     """
 
-    __slots__ = ("_agents", "_clock", "_membership")
+    __slots__ = ("_agents", "_clock", "_incompatible", "_membership")
 
     def __init__(self, clock: Clock, membership: Membership) -> None:
         self._clock = clock
         self._membership = membership
         self._agents: dict[str, KnownAgent] = {}
+        self._incompatible: set[str] = set()
 
     def hear(self, beat: AgentBeat) -> bool:
         """Take in a heartbeat.
@@ -70,9 +75,11 @@
         bool
             True if the agent is new or was silent.
         """
-        if beat.min_protocol_version > PROTOCOL_VERSION:
-            return False
-        if beat.protocol_version < MIN_PROTOCOL_VERSION:
+        if (
+            beat.min_protocol_version > PROTOCOL_VERSION
+            or beat.protocol_version < MIN_PROTOCOL_VERSION
+        ):
+            self._log_incompatible(beat)
             return False
         now_s = self._clock.monotonic_s()
         known = self._agents.get(beat.incarnation)
@@ -140,6 +147,18 @@
         """Return all agents that are remembered."""
         return list(self._agents.values())
 
+    def _log_incompatible(self, beat: AgentBeat) -> None:
+        if beat.incarnation in self._incompatible:
+            return
+        self._incompatible.add(beat.incarnation)
+        log_event(
+            _logger,
+            Event.PEER_INCOMPATIBLE,
+            instance=beat.instance,
+            min_protocol_version=beat.min_protocol_version,
+            protocol_version=beat.protocol_version,
+        )
+
     def _close_predecessors(self, beat: AgentBeat) -> None:
         # The slot's listening port admits one process, so another incarnation
         # at the same address is dead. It is not waited for until it is silent.
--- a/src/pomelothread/entry/floors.py
+++ b/src/pomelothread/entry/floors.py
@@ -1,13 +1,17 @@
 """Floors that precede the shedding of protected work."""
 
 import itertools
+import logging
 
 from ..clock import Clock
+from ..events import Event, log_event
 from ..peers.control import ControlChannel
 from ..peers.messages import FloorRaised, RaiseFloor
 from ..policy.shedding import ProtectedShed
 from .agents import AgentTable
 
+_logger = logging.getLogger(__name__)
+
 # Agents that have not confirmed are asked again after 0.1 s; this only bounds
 # how late a confirmation is noticed.
 POLL_S = 0.02
@@ -63,6 +67,8 @@
         tier_rank : int
             Rank of the protected request that would be shed.
         """
+        if not self.may_shed(pool, tier_rank):
+            log_event(_logger, Event.FLOOR_REQUESTED, pool=pool, tier_rank=tier_rank)
         while not self.may_shed(pool, tier_rank):
             self._ask(pool, tier_rank)
             await self._clock.sleep(POLL_S)
--- a/src/pomelothread/entry/process.py
+++ b/src/pomelothread/entry/process.py
@@ -194,7 +194,7 @@
                 case FloorRaised():
                     self._floors.confirm(message)
                 case _:
-                    self._channel.n_dropped += 1
+                    self._channel.n_unknown += 1
 
     async def _beat(self) -> None:
         """Send heartbeats and repeat open offers."""
@@ -203,6 +203,14 @@
             self._offers.offer_all()
             for gone in self._agents.forget_silent():
                 self._channel.forget(gone.beat.inbox)
+                log_event(
+                    _logger,
+                    Event.PEER_DOWN,
+                    instance=gone.beat.instance,
+                    address=gone.beat.inbox,
+                    cause="no heartbeat",
+                )
+            self._channel.log_unknown()
             self._update_readiness()
             await self._clock.sleep(BEAT_PERIOD_S)
 
--- a/src/pomelothread/events.py
+++ b/src/pomelothread/events.py
@@ -71,11 +71,6 @@
         "agent draining, %(n_waiting)s offers returned, %(n_running)s running",
     )
     AGENT_STOPPED = (204, logging.INFO, "agent stopped after %(uptime_s)s s")
-    GRANT_EXPIRED = (
-        210,
-        logging.INFO,
-        "grant %(grant)s for request %(request_id)s expired unused",
-    )
     DISPATCH_REFUSED = (
         211,
         logging.WARNING,
@@ -116,7 +111,7 @@
     CLAIM_CONFLICT = (
         310,
         logging.INFO,
-        "claim of key %(key_digest)s of %(service)s lost to %(claimant)s",
+        "order with key %(key_digest)s of %(service)s is already running",
     )
     CLAIM_UNAVAILABLE = (
         311,
@@ -126,7 +121,7 @@
     CLAIM_UNFINISHED = (
         312,
         logging.WARNING,
-        "claim of key %(key_digest)s of %(service)s by %(claimant)s has no result",
+        "claim of key %(key_digest)s of %(service)s has no result",
     )
     KEY_REUSED = (
         313,
@@ -137,8 +132,7 @@
     CRASH_SUSPECT = (
         320,
         logging.WARNING,
-        "request body %(fingerprint)s was running when an upstream died, %(n_crashes)s "
-        "times so far",
+        "request body %(fingerprint)s was running when the upstream died",
     )
     CRASH_CONVICTED = (
         321,
@@ -153,18 +147,12 @@
     SHEET_IGNORED = (
         402,
         logging.WARNING,
-        "sheet record at offset %(offset)s of %(operator)s ignored: its base is "
-        "%(base_version)s, in force is %(sheet_version)s",
-    )
-    SHEET_REJECTED = (
-        403,
-        logging.ERROR,
-        "sheet record at offset %(offset)s rejected: %(detail)s",
+        "sheet record at offset %(offset)s not used: %(reason)s, %(detail)s",
     )
     SHEET_FROM_PEER = (
         404,
         logging.WARNING,
-        "sheet %(sheet_version)s taken from peer %(peer)s, the log is unreachable",
+        "sheet %(sheet_version)s taken from a peer, the log is unreachable",
     )
     LIST_UNREACHABLE = (
         501,
@@ -205,11 +193,6 @@
         logging.ERROR,
         "upstream failed %(command)s with fencing token %(fencing_token)s: %(detail)s",
     )
-    CACHE_EVENTS_MISSED = (
-        612,
-        logging.INFO,
-        "%(n_batches)s batches of cache events missed; the cache view starts anew",
-    )
     INVARIANT_BROKEN = (
         701,
         logging.CRITICAL,
--- a/src/pomelothread/peers/control.py
+++ b/src/pomelothread/peers/control.py
@@ -1,12 +1,16 @@
 """Sockets for control messages: one inbox for each process, one outbox a peer."""
 
 import asyncio
+import logging
 
 import msgspec
 import pynng
 
+from ..events import Event, log_event
 from .messages import Message, decode_message, encode_message
 
+_logger = logging.getLogger(__name__)
+
 # Room for messages to a peer that is slow or not connected. A full outbox
 # drops, which every message tolerates; the heartbeat repeats what matters.
 OUTBOX_SIZE = 256
@@ -36,21 +40,25 @@
         ``ip:port`` on which the inbox listens.
     n_sent_bytes, n_received_bytes : int
         Payload bytes since the start.
-    n_dropped : int
-        Messages that no outbox could take, or that could not be decoded.
+    n_unsent : int
+        Messages that no outbox could take.
+    n_unknown : int
+        Messages that could not be decoded, or that nobody expected.
     """
 
     __slots__ = (
         "_flush_scheduled",
         "_inbox",
         "_loop",
+        "_n_unknown_logged",
         "_outboxes",
         "_pending",
         "_received",
         "address",
-        "n_dropped",
         "n_received_bytes",
         "n_sent_bytes",
+        "n_unknown",
+        "n_unsent",
     )
 
     def __init__(self, listen_address: str) -> None:
@@ -64,7 +72,9 @@
         self._received: asyncio.Queue[Message] = asyncio.Queue()
         self.n_sent_bytes = 0
         self.n_received_bytes = 0
-        self.n_dropped = 0
+        self.n_unsent = 0
+        self.n_unknown = 0
+        self._n_unknown_logged = 0
         # The descriptor becomes readable when a frame waits; polling it costs
         # a fraction of pynng's own asynchronous receive.
         self._loop.add_reader(self._inbox.recv_fd, self._drain)
@@ -87,6 +97,13 @@
         if outbox is not None:
             outbox.close()
 
+    def log_unknown(self) -> None:
+        """Log how many unknown messages came since the last call, if any."""
+        n_messages = self.n_unknown - self._n_unknown_logged
+        if n_messages:
+            self._n_unknown_logged = self.n_unknown
+            log_event(_logger, Event.MESSAGE_DROPPED, n_messages=n_messages)
+
     def close(self) -> None:
         """Close all sockets; messages still queued may be lost."""
         self._flush()
@@ -108,7 +125,7 @@
         try:
             self._outbox(address).send(data, block=False)
         except pynng.NNGException:
-            self.n_dropped += len(frame)
+            self.n_unsent += len(frame)
             return
         self.n_sent_bytes += len(data)
 
@@ -135,7 +152,7 @@
             for raw in self._decode_frame(data):
                 message = decode_message(raw)
                 if message is None:
-                    self.n_dropped += 1
+                    self.n_unknown += 1
                     continue
                 self._received.put_nowait(message)
 
@@ -143,5 +160,5 @@
         try:
             return _frame_decoder.decode(data)
         except msgspec.DecodeError:
-            self.n_dropped += 1
+            self.n_unknown += 1
             return []
--- a/src/pomelothread/peers/surroundings.py
+++ b/src/pomelothread/peers/surroundings.py
@@ -9,8 +9,9 @@
 from ..instance_list.client import InstanceListClient, follow_instances
 from ..instance_list.membership import Membership
 from ..log.client import HttpLogClient
-from ..operators.changes import SheetChange
+from ..operators.changes import IgnoredRecord, SheetChange, Source
 from ..operators.following import FollowSettings, FollowStatus, follow_sheet
+from ..operators.publications import TOPIC
 from ..operators.replication import SheetReplica
 from ..operators.sheet import Sheet
 from .http_exchange import ExchangeClient
@@ -70,6 +71,7 @@
         "_clock",
         "_is_at_end",
         "_log_failed",
+        "_log_failed_at_s",
         "_on_change",
         "_on_sheet",
         "membership",
@@ -91,8 +93,9 @@
         self._on_change = on_change
         self._is_at_end = False
         self._log_failed = False
+        self._log_failed_at_s = 0.0
         self.membership = Membership()
-        self.replica = SheetReplica()
+        self.replica = SheetReplica(on_ignored=_log_ignored)
 
     @property
     def sheet(self) -> Sheet:
@@ -103,10 +106,14 @@
     def has_sheet(self) -> bool:
         """Whether the process may work with the sheet that it holds.
 
-        Either the topic has been read to its end, or the log is out and a
-        peer's sheet stands in.
+        Either the topic has been read to its end and the sheet is certainly the
+        one in force there, or the log is out and a peer's sheet stands in.
         """
-        return self.sheet.version > 0 and (self._is_at_end or self._log_failed)
+        return self.sheet.version > 0 and (self._is_current or self._log_failed)
+
+    @property
+    def _is_current(self) -> bool:
+        return self._is_at_end and self.replica.is_anchored
 
     def start(self, tasks: Tasks) -> None:
         """Start the tasks that follow the list and the sheet."""
@@ -136,7 +143,7 @@
                 self._client,
                 self._clock,
                 self._peer_addresses,
-                lambda: self._log_failed or not self._is_at_end,
+                lambda: self._log_failed or not self._is_current,
                 self._use_sheet,
             ),
         )
@@ -147,6 +154,9 @@
 
     def _use_sheet(self, change: SheetChange) -> None:
         self._on_sheet(change)
+        if change.source is Source.PEER:
+            version = change.sheet.version
+            log_event(_logger, Event.SHEET_FROM_PEER, sheet_version=version)
         log_event(
             _logger,
             Event.SHEET_ACCEPTED,
@@ -158,10 +168,15 @@
 
     def _note_status(self, status: FollowStatus) -> None:
         failure = status.failure
+        now_s = self._clock.monotonic_s()
         if failure is not None and not self._log_failed:
+            self._log_failed_at_s = now_s
             log_event(
-                _logger, Event.LOG_UNREACHABLE, topic="sheet", detail=failure.detail
+                _logger, Event.LOG_UNREACHABLE, topic=TOPIC, detail=failure.detail
             )
+        if failure is None and self._log_failed:
+            outage_s = round(now_s - self._log_failed_at_s, 1)
+            log_event(_logger, Event.LOG_BACK, topic=TOPIC, outage_s=outage_s)
         self._log_failed = failure is not None
         self._is_at_end = status.is_at_end
         self._on_change()
@@ -172,3 +187,13 @@
             for instance in self.membership.all()
             if instance.name != self._addresses.instance
         ]
+
+
+def _log_ignored(ignored: IgnoredRecord) -> None:
+    log_event(
+        _logger,
+        Event.SHEET_IGNORED,
+        offset=ignored.offset,
+        reason=ignored.reason.value,
+        detail=ignored.detail,
+    )
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -92,6 +92,15 @@
     assert faults == []
 
 
+def test_every_event_of_the_catalogue_is_logged_somewhere():
+    logged = {
+        name
+        for path in (ROOT / "src").rglob("*.py")
+        for _, name, _ in event_calls(path.read_text(encoding="utf-8"))
+    }
+    assert set(Event.__members__) - logged == set()
+
+
 @pytest.mark.parametrize(
     ("call", "n_faults"),
     [
