--- a/tests/claims_rig.py
+++ b/tests/claims_rig.py
@@ -12,7 +12,7 @@
 from pomelothread.clock import ManualClock
 from pomelothread.log.claim_results import Claimed, ClaimResult, LookupResult
 from pomelothread.log.claims import Claimant
-from pomelothread.log.memory import MemoryLog
+from pomelothread.log.memory import MemoryFaults, MemoryLog
 from pomelothread.log.records import LogBatch, LogFailure
 
 TOPIC = "claims.press"
@@ -118,6 +118,13 @@
         for node in self.nodes.values():
             node.kill()
 
+    def heal(self) -> None:
+        """End all faults but retention; what was late arrives."""
+        self.log.faults = MemoryFaults(retention_s=self.log.faults.retention_s)
+        self.log.deliver_late()
+        for node in self.nodes.values():
+            node.process.running.set()
+
     async def settle(self) -> None:
         """Let every task run until it waits for the clock."""
         for _ in range(40):
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import uuid
 from datetime import UTC, datetime
 
 import pytest
@@ -29,58 +30,25 @@
 class Fault:
     """Does nothing; subclasses change the course of one claim by node "a"."""
 
-    replaces_claimant = False
-
     def begin(self, fleet: Fleet) -> None: ...
 
     async def during(self, fleet: Fleet) -> None: ...
 
-    def end(self, fleet: Fleet) -> None: ...
-
-
-class AnswerLost(Fault):
-    def begin(self, fleet: Fleet) -> None:
-        fleet.log.faults.n_lost_answers = 1
-
-
-class RequestLost(Fault):
-    def begin(self, fleet: Fleet) -> None:
-        fleet.log.faults.n_lost_requests = 1
-
-
-class AppendIsLate(Fault):
-    def begin(self, fleet: Fleet) -> None:
-        fleet.log.faults.n_late_appends = 4
-
-    def end(self, fleet: Fleet) -> None:
-        fleet.log.faults.n_late_appends = 0
-        fleet.log.deliver_late()
 
+def fault_of_log(name: str, **fields: object) -> type[Fault]:
+    """Return a fault that sets these fields of `MemoryFaults` at the beginning."""
 
-class Refused(Fault):
-    def begin(self, fleet: Fleet) -> None:
-        fleet.log.faults.refuse_appends = True
+    def begin(self: Fault, fleet: Fleet) -> None:
+        for field, value in fields.items():
+            setattr(fleet.log.faults, field, value)
 
-    def end(self, fleet: Fleet) -> None:
-        fleet.log.faults.refuse_appends = False
+    return type(name, (Fault,), {"begin": begin})
 
 
-class Down(Fault):
+class DownAfterAppend(Fault):
     async def during(self, fleet: Fleet) -> None:
         fleet.log.faults.down = True
 
-    def end(self, fleet: Fleet) -> None:
-        fleet.log.faults.down = False
-
-
-class Slow(Fault):
-    def begin(self, fleet: Fleet) -> None:
-        fleet.log.faults.delay_s = 2.5
-        fleet.log.faults.delay_answer_s = 4.0
-
-    def end(self, fleet: Fleet) -> None:
-        fleet.log.faults.delay_s = fleet.log.faults.delay_answer_s = 0.0
-
 
 class Race(Fault):
     def begin(self, fleet: Fleet) -> None:
@@ -94,8 +62,6 @@
 
 
 class Replaced(Fault):
-    replaces_claimant = True
-
     async def during(self, fleet: Fleet) -> None:
         fleet.start("a")
 
@@ -104,9 +70,6 @@
     async def during(self, fleet: Fleet) -> None:
         fleet.nodes["a"].process.running.clear()
 
-    def end(self, fleet: Fleet) -> None:
-        fleet.nodes["a"].process.running.set()
-
 
 class PausedBeyondRetention(PausedBeforeConfirmation):
     """Node "b" carries the claims forward meanwhile."""
@@ -118,12 +81,13 @@
 
 
 FAULTS = (
-    AnswerLost,
-    RequestLost,
-    AppendIsLate,
-    Refused,
-    Down,
-    Slow,
+    fault_of_log("AnswerLost", n_lost_answers=1),
+    fault_of_log("RequestLost", n_lost_requests=1),
+    fault_of_log("AppendIsLate", n_late_appends=4),
+    fault_of_log("Refused", refuse_appends=True),
+    fault_of_log("Down", down=True),
+    fault_of_log("Slow", delay_s=2.5, delay_answer_s=4.0),
+    DownAfterAppend,
     Race,
     OtherBody,
     Replaced,
@@ -150,8 +114,7 @@
         for fault in faults:
             await fault.during(fleet)
         await fleet.advance(3.0)
-        for fault in faults:
-            fault.end(fleet)
+        fleet.heal()
         await fleet.advance(12.0)
         for name in "abab":
             await fleet.claim(name, KEY, BODY)
@@ -166,7 +129,7 @@
                 expected = (201, HEADERS, fleet.finished[KEY], True)
                 assert (status, headers, body, replayed) == expected
             case results.ClaimNotKnown():
-                assert any(fault.replaces_claimant for fault in faults)
+                assert Replaced in kinds
             case other:
                 raise AssertionError(other)
 
@@ -266,18 +229,11 @@
         process = fleet.nodes["a"].process
         process.reads.clear()
         await fleet.claim("b", KEY)
-        entry = next(iter(fleet.nodes["b"].claimant.ledger.entries.items()))
+        ((key, entry),) = fleet.nodes["b"].claimant.ledger.entries.items()
         rival = fleet.begin_claim("a", KEY, BODY)
         await fleet.advance(0.05)
-        carried = Carried(
-            entry[0],
-            entry[1].body_digest,
-            entry[1].holder,
-            entry[1].attempt,
-            entry[1].origin,
-            entry[1].expires_at_ms,
-            abandoned=False,
-        )
+        claim = (entry.body_digest, entry.holder, entry.attempt, entry.origin)
+        carried = Carried(key, *claim, entry.expires_at_ms, abandoned=False)
         author = fleet.nodes["b"].claimant.id
         await fleet.log.append(TOPIC, encode_batch(author, 99, [carried]))
         fleet.log.expire_before(TOPIC, len(fleet.log.values(TOPIC)) - 2)
@@ -448,10 +404,7 @@
 
 def uuid7_at(seconds_from_now: float) -> str:
     now_s = datetime(2026, 3, 1, tzinfo=UTC).timestamp() + seconds_from_now
-    digits = f"{round(now_s * 1000):012x}" + "7" + "0" * 3 + "8" + "0" * 15
-    return "-".join((digits[:8], digits[8:12], digits[12:16], digits[16:20])) + (
-        "-" + digits[20:]
-    )
+    return str(uuid.UUID(f"{round(now_s * 1000):012x}70008" + "0" * 15))
 
 
 @pytest.mark.parametrize(
--- a/tests/test_claims_http.py
+++ b/tests/test_claims_http.py
@@ -6,12 +6,7 @@
 import pytest
 
 from pomelothread.clock import SystemClock
-from pomelothread.log.claim_results import (
-    AlreadyDone,
-    Claimed,
-    ClaimResult,
-    ClaimUnavailable,
-)
+from pomelothread.log import claim_results as results
 from pomelothread.log.claims import Claimant
 from pomelothread.log.client import HttpLogClient
 from standins.log_service import Faults, LogService
@@ -34,7 +29,7 @@
 def test_an_order_runs_once_over_http(faults: Faults, may_claim: bool) -> None:
     """Guards against faults that the in-memory log does not show."""
 
-    async def claim(claimant: Claimant) -> ClaimResult:
+    async def claim(claimant: Claimant) -> results.ClaimResult:
         return await claimant.claim("k", b"10 maps", "print", "club", 86_400.0)
 
     async def run() -> None:
@@ -49,19 +44,21 @@
         await asyncio.gather(one.tail.wait_caught_up(), other.tail.wait_caught_up())
         service.faults = faults
         service.notify()
-        results = list(await asyncio.gather(claim(one), claim(other)))
+        outcomes = list(await asyncio.gather(claim(one), claim(other)))
         if not may_claim:
-            assert all(isinstance(result, ClaimUnavailable) for result in results)
+            assert all(
+                isinstance(result, results.ClaimUnavailable) for result in outcomes
+            )
         service.faults = Faults()
         service.notify()
         n_claimed = 0
-        while not all(isinstance(result, AlreadyDone) for result in results):
-            for claimant, result in zip((one, other), results, strict=True):
-                if isinstance(result, Claimed):
+        while not all(isinstance(result, results.AlreadyDone) for result in outcomes):
+            for claimant, result in zip((one, other), outcomes, strict=True):
+                if isinstance(result, results.Claimed):
                     n_claimed += 1
                     await claimant.finish(result.token, 201, (), b"ran")
             await asyncio.sleep(0.01)  # a refused claim returns without a pause
-            results = [await claim(one), await claim(other)]
+            outcomes = [await claim(one), await claim(other)]
         assert n_claimed == 1
         await asyncio.gather(one.flush(), other.flush())
         for task in tasks:
--- a/tests/test_claims_orders.py
+++ b/tests/test_claims_orders.py
@@ -178,7 +178,6 @@
         if not hasattr(self, "fleet"):
             return
         try:
-            self.set_faults(False, False, 0, 0, 0, 0.0)
             self.run(self.check_healed())
         finally:
             self.fleet.stop()
@@ -187,9 +186,7 @@
 
     async def check_healed(self) -> None:
         fleet = self.fleet
-        fleet.log.deliver_late()
-        for node in fleet.nodes.values():
-            node.process.running.set()
+        fleet.heal()
         await fleet.advance(20.0)
         self.collect()
         for node, _key, token in self.tokens:
