Hold the period of health checks and test the fresh connections

A check that timed out lengthened its period, so that a hanging upstream closed after 2 s instead of 1 s; the time of a check now counts towards the period. A trial without FRESH_CONNECT passed the tests, since the refused rewind of the body also prevents a second sending; the test now counts connections.

--- a/src/pomelothread/peers/exchange.py
+++ b/src/pomelothread/peers/exchange.py
@@ -29,8 +29,9 @@
 
 # Without these a peer whose machine vanished would hold a stream open for ever,
 # since long reports have no total timeout.
+# With Linux's 9 probes the peer counts as gone after 10 + 9 x 2 s.
 KEEPALIVE_IDLE_S = 10
-KEEPALIVE_INTERVAL_S = 5
+KEEPALIVE_INTERVAL_S = 2
 
 # Errors of libcurl that are raised only before the request is sent.
 _CONNECT_ERRORS = frozenset(
@@ -46,7 +47,8 @@
 class Exchange:
     """One request and its response, as they arrive.
 
-    Made by `ExchangeClient.open_exchange`. At most one task reads it.
+    Made by `ExchangeClient.open_exchange`. At most one task reads it, and calls
+    `cancel` when it leaves before the end; otherwise the transfer stays open.
     """
 
     __slots__ = (
@@ -307,7 +309,7 @@
     def _end_of(self, error: BaseException) -> End:
         if not isinstance(error, CurlError):
             # Tornado refused the request itself, e.g. an illegal header.
-            return NotConnected(str(error))
+            return NotConnected(repr(error))
         detail = f"{error.message} (libcurl error {error.errno})"
         if self._head_fault:
             detail = f"malformed response head: {self._head_fault}"
--- a/src/pomelothread/upstreams/health.py
+++ b/src/pomelothread/upstreams/health.py
@@ -89,8 +89,12 @@
     async def run(self) -> None:
         """Ask until the task is cancelled."""
         while True:
+            started_s = self._clock.monotonic_s()
             await self.check()
-            await self._clock.sleep(PERIOD_S)
+            # A check that times out must not lengthen the period: the second
+            # failure would come a second later.
+            elapsed_s = self._clock.monotonic_s() - started_s
+            await self._clock.sleep(max(0.0, PERIOD_S - elapsed_s))
 
     async def check(self) -> None:
         """Ask once and report a change."""
--- a/tests/test_http_exchange.py
+++ b/tests/test_http_exchange.py
@@ -161,7 +161,7 @@
         keep = answers(LENGTH_OK, closes=False)
         async with raw_server(keep, close, keep) as server:
             ends = [await send(server.url, request_id) for request_id in "ab"]
-            return ends, server.ids
+            return ends, server.ids, server.n_connections
 
     async def exchanges():
         client = ExchangeClient(1)
@@ -177,8 +177,8 @@
             )
         )
 
-    ends, ids = asyncio.run(exchanges())
-    assert ids == ["a", "b"]
+    ends, ids, n_connections = asyncio.run(exchanges())
+    assert (ids, n_connections) == (["a", "b"], 2)
     assert isinstance(ends[1][2], LostBeforeHead)
     # The hazard itself, which shows that this test can see it.
     assert asyncio.run(plain())[1] == ["a", "b", "b"]
--- a/tests/test_load_and_health.py
+++ b/tests/test_load_and_health.py
@@ -4,7 +4,7 @@
 from datetime import UTC, datetime
 
 import pytest
-from raw_server import answers, raw_server
+from raw_server import answers, raw_server, until
 from returns.result import Success
 
 from pomelothread.clock import ManualClock
@@ -179,30 +179,27 @@
     assert (is_up, refuses) == (False, True)
 
 
-def test_checks_run_at_their_period():
+@pytest.mark.parametrize(("taken_s", "wait_s"), [(0.0, 0.5), (0.3, 0.2), (0.7, 0.0)])
+def test_the_time_that_a_check_takes_counts_towards_its_period(taken_s, wait_s):
+    """Guards against hanging checks that close an upstream after two seconds."""
+
     async def run():
         clock = manual_clock()
-        answered = asyncio.Event()
 
         async def script(request):
+            clock.advance(taken_s)
             await http("")(request)
-            answered.set()
 
         async with raw_server(script) as server:
             client = ExchangeClient(1)
             health = UpstreamHealth(client, server.url, clock, lambda change: None)
             task = asyncio.create_task(health.run())
-            for n_checks in (1, 2, 3):
-                await answered.wait()
-                answered.clear()
-                while client.n_open:
-                    await asyncio.sleep(0)
-                await asyncio.sleep(0)
-                assert len(server.received) == n_checks
-                clock.advance(0.4)
-                await asyncio.sleep(0)
-                assert not client.n_open
-                clock.advance(0.1)
+            await until(lambda: clock._sleepers)
+            n_received, due_s = len(server.received), clock._sleepers[0][0]
+            clock.advance(wait_s)
+            await until(lambda: len(server.received) == 2)
             task.cancel()
+            return n_received, due_s
 
-    asyncio.run(run())
+    n_received, due_s = asyncio.run(run())
+    assert (n_received, due_s) == (1, pytest.approx(taken_s + wait_s))
