Write the counter suffix once in the type line of the exposition

The line named pomelothread_requests_total_total, so a scraper took the samples for untyped. The metrics that operations.md names are now compared with what an entry and an agent expose.

--- a/src/pomelothread/metrics.py
+++ b/src/pomelothread/metrics.py
@@ -225,14 +225,16 @@
     family: Family[Any]
 
     def metric(self) -> Metric:
-        metric = Metric(PREFIX + self.family.name, self.family.help_text, self.kind)
+        # prometheus_client appends the suffix to the name of a counter's family.
+        name = PREFIX + self.family.name
+        metric = Metric(name.removesuffix("_total"), self.family.help_text, self.kind)
         # A copy, since another series may be added while a function is called.
         for values, series in list(self.family.series.items()):
             labels = dict(zip(self.family.label_names, values, strict=True))
             if isinstance(series, Histogram):
                 _add_summary(metric, labels, series)
             else:
-                metric.add_sample(PREFIX + self.family.name, labels, series.value)
+                metric.add_sample(name, labels, series.value)
         return metric
 
 
--- a/tests/test_launcher.py
+++ b/tests/test_launcher.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import re
 import signal
 import subprocess
 import sys
@@ -9,6 +10,7 @@
 
 import psutil
 import pytest
+from tornado.httpclient import AsyncHTTPClient
 
 from deployments import DEPLOYMENTS
 from launch_settings import LaunchOptions, Node, Platform, node_settings, to_toml
@@ -148,10 +150,30 @@
     run(scenario())
 
 
+def documented_metrics():
+    page = (ROOT / "docs/operations.md").read_text(encoding="utf-8")
+    return set(re.findall(r"`(pomelothread_\w+)", page))
+
+
+async def metrics_text(node):
+    url = f"http://{node.http_address}/metrics"
+    return (await AsyncHTTPClient().fetch(url)).body.decode()
+
+
 def test_a_deployment_starts_survives_a_killed_agent_and_stops_gracefully():
     async def scenario():
         async with Launcher(DEPLOYMENTS["tiny"]) as launcher:
             assert len(launcher.entry_urls) == 2
+            exposed = "".join(
+                [
+                    await metrics_text(node)
+                    for node in launcher.nodes.values()
+                    if node.plan.instance in ("entry-1", "model-1")
+                ]
+            )
+            assert documented_metrics() == set(
+                re.findall(r"^# TYPE (pomelothread_\w+)", exposed, re.MULTILINE)
+            )
             agent = launcher.nodes["model-1"]
             before = dict(agent.program.announced)
             await launcher.kill("model-1")
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -47,6 +47,12 @@
     assert found["process_resident_memory_bytes",] > 0
 
 
+def test_the_type_line_of_a_counter_names_its_samples(metrics):
+    # The suffix was once written twice in this line.
+    metrics.counter("requests_total", "Requests.").labels().add()
+    assert b"# TYPE pomelothread_requests_total counter" in metrics.render()
+
+
 @pytest.mark.parametrize(
     ("pauses_s", "expected"),
     [
