--- a/src/pomelothread/policy/routing.py
+++ b/src/pomelothread/policy/routing.py
@@ -67,10 +67,6 @@
 # takes 6 to 9 s on an engine of a quarter of the speed, for a deadline of 8 s.
 LATE_DELAY_SHARE_OF_SLACK = 0.5
 CROSS_REGION_DELAY_S = 0.05
-# Wait at the best agent of the region above which the other region is used too.
-# With the deadline as the only condition, the upstreams of the other region, over
-# a quarter of the capacity, were idle at three times the capacity.
-MAX_HOME_WAIT_S = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -168,8 +164,8 @@
 
     Agents are ordered by predicted finish, less the weighted prefill time that
     a cached prefix saves. Agents of other regions are used only if there is no
-    usable one in the entry's region, or if none there can make the deadline or
-    has a place soon and the request is small enough for the link. Waiting requests should be
+    usable one in the entry's region, or if none there can make the deadline and
+    the request is small enough for the link. Waiting requests should be
     chosen for again with each heartbeat, since these conditions change.
 
     Parameters
@@ -387,8 +383,5 @@
     )
     if n_bytes > max_bytes:
         return False
-    wait_s = min(predict_wait_s(request, agent, rates, now_s) for agent in own)
-    if wait_s > MAX_HOME_WAIT_S:
-        return True
     best_s = min(predict_finish_s(request, agent, rates, now_s) for agent in own)
     return now_s + best_s > request.deadline_at_s
--- a/tests/test_policy_routing.py
+++ b/tests/test_policy_routing.py
@@ -95,12 +95,6 @@
 SLOW = {"token_gap_s": 1.0}
 
 
-def full(n_ahead):
-    """An agent that finishes eight requests a second, without a free place."""
-    times = {"service_time_s": 1.0, "n_places": 8, "n_free_places": 0}
-    return {"waiting_by_rank": {0: n_ahead}, **times}
-
-
 @pytest.mark.parametrize(
     ("near", "request_changes", "uses_far"),
     [
@@ -109,9 +103,6 @@
         (SLOW, {"n_out": 1000}, False),  # 250 kB would block the link for 0.2 s
         (SLOW, {"n_out": 1000, "protected": True}, True),
         (SLOW, {"left_s": 200.0}, False),
-        (full(8), {}, False),  # a place within 0.6 s
-        (full(80), {}, True),  # 5 s; otherwise the far region idles in a burst
-        (full(80), {"n_out": 1000}, False),
         ({"state": CLOSED}, {"n_out": 5000}, True),  # nothing else is left
     ],
 )
