--- a/tools/bench_load.py
+++ b/tools/bench_load.py
@@ -12,13 +12,20 @@
 from dataclasses import dataclass, field
 
 from pomelothread.operators.sheet import Sheet
-from pomelothread.peers.http_exchange import Complete, ExchangeClient, ResponseHead
+from pomelothread.peers.http_exchange import (
+    Complete,
+    ExchangeClient,
+    NotConnected,
+    ResponseHead,
+)
 from standins.text import BLOCK_TOKENS
 
 RUN = "run"
 NOT_RUN = "not-run"
 NOT_KNOWN = "not-known"
 CUT = "cut"
+# The connection was not established within a second; nothing was sent.
+NOT_ACCEPTED = "not-accepted"
 UNFINISHED = "unfinished"
 
 # Shared system prompts of the steady load and of the scenario of prefixes.
@@ -365,6 +372,8 @@
 
 
 def _outcome(head: object, is_complete: bool, tail: bytes, request: Request) -> str:
+    if isinstance(head, NotConnected):
+        return NOT_ACCEPTED
     if not isinstance(head, ResponseHead):
         return NOT_KNOWN
     if head.status >= 400:
