Offer a request again to agents that have reopened

Cause: an agent that closes returns its offers, and the entry then excluded it from that request for good. When all agents of a pool had closed once, because their upstreams missed two health checks or were replaced, what waited was offered to nobody and stayed until its deadline: 900 s for a report. Ruled out: leaked places at the agents (new requests were served at once). Change: refusals are forgotten with each heartbeat. Within a heartbeat they still keep an offer from bouncing; closed agents are skipped by their state.

--- a/src/pomelothread/entry/offers.py
+++ b/src/pomelothread/entry/offers.py
@@ -89,9 +89,14 @@
             task.add_done_callback(self._delayed.discard)
 
     def offer_all(self) -> None:
-        """Repeat the offers of all waiting requests."""
+        """Repeat the offers of all waiting requests.
+
+        An agent that refused one may have opened again since, so refusals are
+        forgotten here; they only keep an offer from bouncing between beats.
+        """
         for request in self._waiting:
             self._drop_silent(request)
+            request.excluded.clear()
             self.offer(request)
 
     def withdraw(self, request: WaitingRequest, except_at: str = "") -> None:
--- a/tools/fault_cases.py
+++ b/tools/fault_cases.py
@@ -5,6 +5,7 @@
 import signal
 import uuid
 from collections.abc import Awaitable, Callable
+from contextlib import AsyncExitStack
 from dataclasses import dataclass, field, replace
 from typing import Any
 
@@ -118,6 +119,19 @@
             trial.world.launcher.signal(victim, signal.SIGCONT)
 
 
+async def _pause_pool(trial: Trial, victim: str) -> None:
+    """Pause all engines until their agents have closed."""
+    engines = [n for n in trial.world.upstream_names() if ":model-" in n]
+    async with AsyncExitStack() as stack:
+        for name in engines:
+            await stack.enter_async_context(trial.world.locks[name])
+        for name in engines:
+            trial.world.launcher.signal(name, signal.SIGSTOP)
+        await asyncio.sleep(max(PAUSES_S))
+        for name in engines:
+            trial.world.launcher.signal(name, signal.SIGCONT)
+
+
 async def _terminate(trial: Trial, victim: str) -> None:
     async with trial.world.locks[victim]:
         status = await trial.world.terminate(victim)
@@ -322,6 +336,7 @@
     "stop agent": Fault(_terminate, "agent", is_harmless=True, naive=False),
     "kill upstream": Fault(_kill, "upstream"),
     "pause upstream": Fault(_pause, "upstream"),
+    "pause pool": Fault(_pause_pool),
     "stop upstream": Fault(_terminate, "upstream"),
     "close before": Fault(
         _upstream_fault(close_before_answer=True, times=3), "upstream"
