--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -138,3 +138,28 @@
         return fleet.ended_at_s[low] - sent_at_s
 
     assert asyncio.run(scenario()) == pytest.approx(0.5, abs=0.03)
+
+
+def test_what_waited_is_offered_again_to_agents_that_closed_and_reopened():
+    # An entry excluded an agent that had handed an offer back for good, so work
+    # that waited while all upstreams were unhealthy stayed until its deadline.
+    async def scenario():
+        fleet = Fleet()
+        fleet.service_time_s = 5.0
+        await fleet.step(60)
+        for _ in range(4):
+            fleet.call(0, "low", deadline_s=60.0)
+        await fleet.step(20)
+        kept = fleet.call(0, "low", deadline_s=60.0)
+        await fleet.step(60)
+        for agent in fleet.agents:
+            agent.reply(agent.grants.close("closed"))
+            agent.beat()
+        await fleet.step(100)
+        for agent in fleet.agents:
+            agent.reply(agent.grants.reopen())
+            agent.beat()
+        await fleet.step(1500)
+        return fleet.outcomes.get(kept)
+
+    assert asyncio.run(scenario()) == "run"
