--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -42,6 +42,7 @@
     ("hang",),
     ("stall", "pause agent"),
     ("slow pool",),
+    ("pause pool",),
     ("log loses", "kill agent"),
     ("log hangs", "crash body"),
     ("two operators", "list frozen"),
--- a/tools/fault_cases.py
+++ b/tools/fault_cases.py
@@ -152,13 +152,8 @@
                 trial.violations.append(("stop", f"{name} exited with {status}"))
             node.state = LIVE
             await world.revive(name)
-            await _wait_state(trial, name)
-
-
-async def _wait_state(trial: Trial, name: str) -> None:
-    async with asyncio.timeout(START_TIMEOUT_S):
-        while (await trial.world.status(name)).get("state") not in {"open", "ready"}:
-            await asyncio.sleep(POLL_S)
+            async with asyncio.timeout(START_TIMEOUT_S):
+                await world.wait_open(name)
 
 
 def _upstream_fault(holds: bool = False, **values: Any) -> Inject:
--- a/tools/fault_world.py
+++ b/tools/fault_world.py
@@ -218,7 +218,7 @@
         try:
             async with asyncio.timeout(PROBE_LIMIT_S):
                 for name in nodes:
-                    await self._wait_open(name)
+                    await self.wait_open(name)
                 await self._wait_served()
         except TimeoutError:
             return f"not everything was served {PROBE_LIMIT_S:g} s after the fault"
@@ -233,7 +233,8 @@
             return status
         return {}
 
-    async def _wait_open(self, name: str) -> None:
+    async def wait_open(self, name: str) -> None:
+        """Wait until an agent is open or an entry is ready."""
         while (await self.status(name)).get("state") not in {"open", "ready"}:
             await asyncio.sleep(POLL_S)
 
--- a/tools/faults.py
+++ b/tools/faults.py
@@ -17,7 +17,6 @@
 from fault_cases import FAULTS
 from fault_checks import CHECKS
 from fault_trials import (
-    TrialPlan,
     TrialResult,
     count_violations,
     plan_trial,
@@ -73,14 +72,6 @@
         print(f"{text:34} {violations[check]:10}")
 
 
-def choose_plans(
-    seed: int, n_trials: int, only: int, is_naive: bool
-) -> list[TrialPlan]:
-    """Return the trials that the command line asks for."""
-    numbers = [only] if only >= 0 else list(range(n_trials))
-    return [plan_trial(seed, number, is_naive) for number in numbers]
-
-
 def main(argv: Sequence[str]) -> int:
     """Run the trials; return 1 if a check found a violation."""
     if len(argv) > 1:
@@ -88,7 +79,8 @@
     # The clients log a line for each request at the level "info".
     logging.set_verbosity(logging.WARNING)
     values = flags.FLAGS
-    plans = choose_plans(values.seed, values.trials, values.only, values.naive)
+    numbers = [values.only] if values.only >= 0 else range(values.trials)
+    plans = [plan_trial(values.seed, number, values.naive) for number in numbers]
     started_s = time.monotonic()
     results = asyncio.run(
         run_trials(
