--- a/src/pomelothread/agent/process.py
+++ b/src/pomelothread/agent/process.py
@@ -80,7 +80,6 @@
         self.incarnation = new_incarnation()
         self._http_address = ""
         self._is_stopping = False
-        self._n_places_logged = settings.places.initial
         self._is_ready = False
         self._leaving_said_by_entries: set[str] = set()
         self._entries: dict[str, tuple[str, float]] = {}
@@ -263,13 +262,6 @@
                     replies = self._grants.revoke(message)
                 case RaiseFloor():
                     replies = self._grants.raise_floor(message)
-                    log_event(
-                        _logger,
-                        Event.FLOOR_RAISED,
-                        pool=message.pool,
-                        tier_rank=message.tier_rank,
-                        n_refused=len(replies) - 1,
-                    )
                 case EntryBeat():
                     self._hear_entry(message)
                     replies = []
@@ -284,23 +276,8 @@
             self._forget_silent_entries()
             self._send_beats()
             self._channel.log_unknown()
-            self._log_places()
             await self._clock.sleep(BEAT_PERIOD_S)
 
-    def _log_places(self) -> None:
-        limit = self._grants.limit
-        n_places = limit.n_places
-        if n_places == self._n_places_logged:
-            return
-        log_event(
-            _logger,
-            Event.PLACE_LIMIT_CHANGED,
-            n_places_before=self._n_places_logged,
-            n_places=n_places,
-            token_gap_s=round(limit.recent_gap_s, 4),
-        )
-        self._n_places_logged = n_places
-
     def _send_beats(self) -> None:
         beat = self._agent_beat()
         for inbox, _ in self._entries.values():
@@ -310,6 +287,7 @@
         """Expire grants and notice a stalled upstream."""
         limit = self._grants.limit
         last_report_s = 0.0
+        n_logged = limit.n_places
         while True:
             now_s = self._clock.monotonic_s()
             limit.is_straggling(now_s, self._dispatcher.n_streaming)
@@ -318,6 +296,16 @@
                 last_report_s = report.received_s
                 limit.observe_engine_queue(report.n_waiting, now_s)
             self._send_replies(self._grants.expire())
+            # Steps of one place happen all the time and say nothing.
+            if not n_logged / 2 < limit.n_places < n_logged * 2:
+                log_event(
+                    _logger,
+                    Event.PLACE_LIMIT_CHANGED,
+                    n_places_before=n_logged,
+                    n_places=limit.n_places,
+                    token_gap_s=round(limit.recent_gap_s, 4),
+                )
+                n_logged = limit.n_places
             await self._clock.sleep(WATCH_PERIOD_S)
 
     def _hear_entry(self, beat: EntryBeat) -> None:
--- a/src/pomelothread/entry/scheduler.py
+++ b/src/pomelothread/entry/scheduler.py
@@ -1,12 +1,9 @@
 """Takes each caller's request from its arrival to its final answer."""
 
-import asyncio
 import itertools
 import logging
-import random
 from collections.abc import Mapping
 from dataclasses import dataclass
-from typing import Any
 
 from opentelemetry.trace import Span, SpanKind, Tracer, set_span_in_context
 
@@ -16,7 +13,6 @@
 from ..operators.sheet import Organisation, Sheet
 from ..outcomes import NotKnown, NotRun, Reason, Run
 from ..peers.dispatch import MUST_RUN_ALONE, body_fingerprint
-from ..peers.waiting import wait_at_most
 from ..policy.crashes import CrashBook
 from ..policy.retries import (
     BindAgain,
@@ -30,20 +26,20 @@
     decide,
 )
 from ..policy.routing import RequestFacts, SeenPrefixes, prefix_hashes
-from ..policy.shedding import FLOOR_LEAD_S, Limits, Reject, WaitingSummary, admit
+from ..policy.shedding import Limits
 from ..tracing import extract_context
+from .admission import AdmissionQueue
 from .agents import AgentTable
 from .attempt import CUT_EVENT, Attempt, Attempts
 from .floors import FloorRequests
 from .metrics import EntryMetrics
 from .offers import SHED_RETRY_AFTER_S, Offers
 from .orders import ask_order_outcome, order_url
-from .waiting import Binding, WaitingRequest, WaitingRequests, shed_outcome
+from .waiting import WaitingRequest, WaitingRequests
 
 _logger = logging.getLogger(__name__)
 
 SHUTDOWN_RETRY_AFTER_S = 1.0
-MAX_RETRY_AFTER_S = 60.0
 
 
 @dataclass(slots=True)
@@ -107,17 +103,16 @@
         self._waiting = waiting
         self._offers = offers
         self._attempts = attempts
-        self._floors = floors
         self._crashes = crashes
         self._metrics = metrics
         self._tracer = tracer
-        self._limits = limits
         self._numbers = itertools.count(1)
         self._prefixes = SeenPrefixes()
         self._budget = RetryBudget()
         self._active: dict[int, _Active] = {}
-        # Jitter only; nothing that must be unpredictable depends on it.
-        self._random = random.Random()
+        self._queue = AdmissionQueue(
+            clock, agents, waiting, offers, floors, tracer, limits
+        )
         self._sheet = Sheet()
         self._by_token: dict[str, Organisation] = {}
         self.accepts = True
@@ -222,13 +217,15 @@
         span: Span,
     ) -> NotRun | NotKnown | None:
         waiting = active.waiting
-        rejection = self._admit(waiting)
+        if not self.accepts:
+            return NotRun(Reason.SHUTTING_DOWN, "", SHUTDOWN_RETRY_AFTER_S)
+        rejection = self._queue.admit(waiting, request.organisation)
         if rejection is not None:
             return rejection
         self._budget.earn()
         n_attempts = 0
         while True:
-            binding = await self._wait_for_place(waiting, span)
+            binding = await self._queue.wait_for_place(waiting, span)
             if isinstance(binding, NotRun):
                 return binding
             n_attempts += 1
@@ -282,7 +279,7 @@
             active.waiting = waiting
             active.attempt = None
             await self._clock.sleep(delay_s)
-            self._hold(waiting)
+            self._queue.hold(waiting)
 
     def _waiting_request(self, request: CallerRequest) -> WaitingRequest:
         service = request.service
@@ -330,105 +327,6 @@
                 again.solo = True
         return again
 
-    def _admit(self, waiting: WaitingRequest) -> NotRun | None:
-        """Decide on arrival; None if the request now waits."""
-        if not self.accepts:
-            return NotRun(Reason.SHUTTING_DOWN, "", SHUTDOWN_RETRY_AFTER_S)
-        if waiting.convicted:
-            detail = "An identical request has crashed upstreams; it did not run."
-            return NotRun(Reason.CONVICTED, detail)
-        organisation = self._sheet.organisations.get(waiting.organisation)
-        limits = Limits(
-            self._limits.max_waiting,
-            organisation.max_waiting if organisation is not None else 0,
-            self._limits.max_waiting_bytes,
-        )
-        summary = WaitingSummary(
-            n_waiting=len(self._waiting),
-            n_waiting_of_organisation=self._waiting.n_waiting(waiting.organisation),
-            n_waiting_bytes=self._waiting.n_bytes,
-            lowest_rank=self._waiting.lowest_rank(),
-        )
-        decision = admit(
-            waiting.facts,
-            self._agents.views(waiting.pool),
-            summary,
-            limits,
-            self._clock.monotonic_s(),
-            jitter=self._random.random(),
-        )
-        if isinstance(decision, Reject):
-            retry_after_s = min(decision.retry_after_s, MAX_RETRY_AFTER_S)
-            return NotRun(decision.reason, "", retry_after_s)
-        self._hold(waiting)
-        return None
-
-    def _hold(self, waiting: WaitingRequest) -> None:
-        """Let a request wait, and shed others if there are now too many."""
-        self._waiting.add(waiting)
-        while self._waiting.is_over():
-            evicted = self._waiting.evict_unprotected(shed_outcome(SHED_RETRY_AFTER_S))
-            if evicted is None:
-                # Only protected work is left; see `_wait_protected`.
-                waiting.overflows = True
-                break
-            self._offers.withdraw(evicted)
-        if not waiting.settled.done():
-            self._offers.offer(waiting)
-
-    async def _wait_for_place(
-        self, waiting: WaitingRequest, span: Span
-    ) -> Binding | NotRun:
-        """Wait for a grant, at most until the deadline."""
-        with self._tracer.start_as_current_span(
-            "entry.wait", context=set_span_in_context(span)
-        ):
-            if waiting.protected:
-                await self._wait_protected(waiting)
-            else:
-                await self._wait_until(waiting, waiting.deadline_at_s)
-            reason = Reason.DEADLINE_PASSED
-            if waiting.overflows:
-                reason = Reason.OVERLOADED
-            if waiting.settle(NotRun(reason, "", SHED_RETRY_AFTER_S)):
-                self._waiting.remove(waiting)
-                self._offers.withdraw(waiting)
-            return waiting.settled.result()
-
-    async def _wait_protected(self, waiting: WaitingRequest) -> None:
-        """Wait for a grant, and return without one only under a raised floor."""
-        if not waiting.overflows:
-            await self._wait_until(waiting, waiting.deadline_at_s - FLOOR_LEAD_S)
-        while not waiting.settled.done():
-            raising = asyncio.ensure_future(
-                self._floors.raise_floor(waiting.pool, waiting.tier_rank)
-            )
-            both: set[asyncio.Future[Any]] = {waiting.settled, raising}
-            await asyncio.wait(both, return_when=asyncio.FIRST_COMPLETED)
-            raising.cancel()
-            self._shed_below(waiting)
-            if waiting.overflows and not self._waiting.is_over():
-                waiting.overflows = False
-            if not waiting.overflows:
-                await self._wait_until(waiting, waiting.deadline_at_s)
-            # The floor may have expired, or an agent appeared, since it was
-            # raised; then it is raised again.
-            if self._floors.may_shed(waiting.pool, waiting.tier_rank):
-                self._shed_below(waiting)
-                return
-
-    def _shed_below(self, waiting: WaitingRequest) -> None:
-        if waiting.settled.done():
-            return
-        for shed in self._waiting.shed_below(
-            waiting.pool, waiting.tier_rank, shed_outcome(SHED_RETRY_AFTER_S)
-        ):
-            self._offers.withdraw(shed)
-
-    async def _wait_until(self, waiting: WaitingRequest, at_s: float) -> None:
-        delay_s = at_s - self._clock.monotonic_s()
-        await wait_at_most(waiting.settled, self._clock, delay_s)
-
     def _not_known(self, request: CallerRequest, reason: Reason) -> NotKnown:
         url = ""
         if request.never_repeated:
