Count an agent as ready only when it has read the claims

Cause: on a busy machine the test of an unknown order got 503 instead of 404, because the launcher's wait for readiness ended before the agent had read the topic of claims, and it then cannot tell whether an order was seen.

--- a/src/pomelothread/agent/process.py
+++ b/src/pomelothread/agent/process.py
@@ -181,7 +181,7 @@
         """
         source = StatusSource(
             self.status,
-            lambda: self._is_ready,
+            self.is_ready,
             self._surroundings.replica.snapshot,
             self._metrics,
         )
@@ -213,6 +213,15 @@
         log_event(_logger, Event.AGENT_STOPPED, uptime_s=uptime_s)
         return 1 if tasks.failed else 0
 
+    def is_ready(self) -> bool:
+        """Whether the agent has opened, and knows all claims that it can read.
+
+        It serves other work before that; a question about an order would be
+        answered "not known" until the topic of claims has been read.
+        """
+        tail = self._claimant.tail
+        return self._is_ready and (tail.is_caught_up or tail.failure is not None)
+
     def status(self) -> NodeStatus:
         """Return the state of the process for operators."""
         sheet = self._surroundings.sheet
