--- a/src/pomelothread/agent/crash_reports.py
+++ b/src/pomelothread/agent/crash_reports.py
@@ -1,20 +1,16 @@
 """Finding out whether the upstream died, and telling the fleet what it ran."""
 
 import asyncio
-import logging
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
 from returns.result import Success
 
 from ..clock import Clock
-from ..events import Event, log_event
 from ..log.records import LogClient, LogRecord
 from ..peers.waiting import wait_at_most
 from ..policy.crashes import CRASH_TOPIC, CrashBook
 
-_logger = logging.getLogger(__name__)
-
 # A process that died refuses connections at once; one that only closed a
 # connection accepts new ones. The looks cover a port that is still closing.
 N_PROBES = 5
@@ -117,10 +113,6 @@
         now_s = self._clock.monotonic_s()
         verdict = self._crashes.engine_died(running, now_s)
         self._tell_entries()
-        for fingerprint in verdict.suspects:
-            log_event(_logger, Event.CRASH_SUSPECT, fingerprint=fingerprint)
-        for fingerprint in verdict.convicted:
-            log_event(_logger, Event.CRASH_CONVICTED, fingerprint=fingerprint)
         if verdict.record is not None:
             self.append(verdict.record)
 
--- a/src/pomelothread/agent/grants.py
+++ b/src/pomelothread/agent/grants.py
@@ -1,11 +1,9 @@
 """Offers that wait for a place, the grants made from them, and what runs."""
 
-import logging
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from ..clock import Clock
-from ..events import Event, log_event
 from ..peers.messages import (
     OPEN,
     Decline,
@@ -22,8 +20,6 @@
 from ..policy.places import PlaceLimit
 from ..policy.shedding import FloorBook
 
-_logger = logging.getLogger(__name__)
-
 GRANT_LIFE_S = 2.0
 FLOOR_LIFE_S = 1.0
 # An entry without a heartbeat for this long is taken for gone, and so are its
@@ -212,15 +208,6 @@
         for key, offer in self.queue.items_above(message.tier_rank):
             self.queue.remove(key)
             replies.append(self._refuse(offer, "floor"))
-        # An entry asks again until it is answered, with nothing left to refuse.
-        if replies:
-            log_event(
-                _logger,
-                Event.FLOOR_RAISED,
-                pool=message.pool,
-                tier_rank=message.tier_rank,
-                n_refused=len(replies),
-            )
         raised = FloorRaised(
             self._incarnation, message.pool, message.tier_rank, message.floor_number
         )
@@ -287,8 +274,6 @@
             if granted.expires_at_s <= now_s:
                 self._drop_grant(grant)
                 self.n_expired += 1
-                name = granted.offer.request_id
-                log_event(_logger, Event.GRANT_EXPIRED, grant=grant, request_id=name)
         silent = {
             entry
             for entry, heard_at_s in self._entries_heard_at_s.items()
--- a/src/pomelothread/agent/orders.py
+++ b/src/pomelothread/agent/orders.py
@@ -23,7 +23,6 @@
     NeverSeen,
 )
 from ..log.claims import Claimant
-from ..log.keys import scope_digest
 from ..operators.sheet import Service
 from ..outcomes import NotKnown, NotRun, Reason, Run
 from ..peers.dispatch import Dispatch
@@ -140,13 +139,6 @@
                 detail = "The order with this key is running; ask for its outcome."
                 return NotKnown(Reason.ORDER_RUNNING, detail, url, ASK_AGAIN_S)
             case KeyReused():
-                log_event(
-                    _logger,
-                    Event.KEY_REUSED,
-                    key_digest=_logged_key(dispatch),
-                    service=dispatch.service,
-                    organisation=dispatch.organisation,
-                )
                 detail = "The key belongs to an order with another body."
                 return NotRun(Reason.KEY_REUSED, detail)
             case KeyExpired():
@@ -159,12 +151,6 @@
                 detail = "The key must be a UUIDv7 whose time is not in the future."
                 return NotRun(Reason.KEY_NOT_DATED, detail)
             case ClaimNotKnown():
-                log_event(
-                    _logger,
-                    Event.CLAIM_UNFINISHED,
-                    key_digest=_logged_key(dispatch),
-                    service=dispatch.service,
-                )
                 return await self._ask_upstream(dispatch, service)
             case ClaimUnavailable(retry_after_s=retry_after_s, is_history_known=False):
                 detail = (
@@ -176,7 +162,7 @@
                 log_event(
                     _logger,
                     Event.CLAIM_UNAVAILABLE,
-                    key_digest=_logged_key(dispatch),
+                    key_digest=quote(dispatch.key)[:16],
                     service=dispatch.service,
                     detail="the claim was not confirmed in time",
                 )
@@ -328,12 +314,6 @@
     return NotKnown(Reason.LOG_UNAVAILABLE, detail, url, retry_after_s)
 
 
-def _logged_key(dispatch: Dispatch) -> str:
-    """Return a digest, as keys may hold what organisations keep to themselves."""
-    digest = scope_digest(dispatch.organisation, dispatch.service, dispatch.key)
-    return digest.hex()[:16]
-
-
 def _question(service: Service, key: str, organisation: str) -> Dispatch:
     return Dispatch(
         request_id="",
--- a/src/pomelothread/agent/process.py
+++ b/src/pomelothread/agent/process.py
@@ -280,7 +280,6 @@
         """Expire grants and notice a stalled upstream."""
         limit = self._grants.limit
         last_report_s = 0.0
-        n_logged = limit.n_places
         while True:
             now_s = self._clock.monotonic_s()
             limit.is_straggling(now_s, self._dispatcher.n_streaming)
@@ -289,16 +288,6 @@
                 last_report_s = report.received_s
                 limit.observe_engine_queue(report.n_waiting, now_s)
             self._send_replies(self._grants.expire())
-            # Steps of one place happen all the time and say nothing.
-            if not n_logged / 2 < limit.n_places < n_logged * 2:
-                log_event(
-                    _logger,
-                    Event.PLACE_LIMIT_CHANGED,
-                    n_places_before=n_logged,
-                    n_places=limit.n_places,
-                    token_gap_s=round(limit.recent_gap_s, 4),
-                )
-                n_logged = limit.n_places
             await self._clock.sleep(WATCH_PERIOD_S)
 
     def _hear_entry(self, beat: EntryBeat) -> None:
--- a/src/pomelothread/entry/floors.py
+++ b/src/pomelothread/entry/floors.py
@@ -1,17 +1,13 @@
 """Floors that precede the shedding of protected work."""
 
 import itertools
-import logging
 
 from ..clock import Clock
-from ..events import Event, log_event
 from ..peers.control import ControlChannel
 from ..peers.messages import FloorRaised, RaiseFloor
 from ..policy.shedding import ProtectedShed
 from .agents import AgentTable
 
-_logger = logging.getLogger(__name__)
-
 # Agents that have not confirmed are asked again after 0.1 s; this only bounds
 # how late a confirmation is noticed.
 POLL_S = 0.02
@@ -88,7 +84,6 @@
         shed = self._sheds.get(key)
         if shed is None:
             self.n_raised += 1
-            log_event(_logger, Event.FLOOR_REQUESTED, pool=pool, tier_rank=tier_rank)
             shed = ProtectedShed(pool, tier_rank, alive, self._numbers)
             self._sheds[key] = shed
             return shed
--- a/src/pomelothread/events.py
+++ b/src/pomelothread/events.py
@@ -126,8 +126,7 @@
     CLAIM_UNFINISHED = (
         312,
         logging.WARNING,
-        "claim of key %(key_digest)s of %(service)s has no result, and its claimant "
-        "is gone",
+        "claim of key %(key_digest)s of %(service)s by %(claimant)s has no result",
     )
     KEY_REUSED = (
         313,
@@ -138,8 +137,8 @@
     CRASH_SUSPECT = (
         320,
         logging.WARNING,
-        "request body %(fingerprint)s was running when an upstream died; it runs alone "
-        "from now on",
+        "request body %(fingerprint)s was running when an upstream died, %(n_crashes)s "
+        "times so far",
     )
     CRASH_CONVICTED = (
         321,
--- a/src/pomelothread/peers/surroundings.py
+++ b/src/pomelothread/peers/surroundings.py
@@ -70,7 +70,6 @@
         "_clock",
         "_is_at_end",
         "_log_failed",
-        "_log_failed_at_s",
         "_on_change",
         "_on_sheet",
         "membership",
@@ -92,7 +91,6 @@
         self._on_change = on_change
         self._is_at_end = False
         self._log_failed = False
-        self._log_failed_at_s = 0.0
         self.membership = Membership()
         self.replica = SheetReplica()
 
@@ -161,13 +159,9 @@
     def _note_status(self, status: FollowStatus) -> None:
         failure = status.failure
         if failure is not None and not self._log_failed:
-            self._log_failed_at_s = self._clock.monotonic_s()
             log_event(
                 _logger, Event.LOG_UNREACHABLE, topic="sheet", detail=failure.detail
             )
-        if failure is None and self._log_failed:
-            outage_s = round(self._clock.monotonic_s() - self._log_failed_at_s, 1)
-            log_event(_logger, Event.LOG_BACK, topic="sheet", outage_s=outage_s)
         self._log_failed = failure is not None
         self._is_at_end = status.is_at_end
         self._on_change()
