--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from callers import NOT_KNOWN, NOT_RUN, RUN, UNTOLD, Answer
+from callers import CUT, NOT_KNOWN, NOT_RUN, RUN, UNTOLD, Answer
 from demo import (
     answer_faults,
     dispatch_faults,
@@ -34,6 +34,7 @@
         ("cleft-report", NOT_RUN, 0),
         ("cleft-report", NOT_KNOWN, 1),
         ("cleft-report", UNTOLD, 1),
+        ("cleft-report", CUT, 1),
     ],
 )
 def test_a_lost_check_and_an_unknown_outcome_are_faults(
--- a/tools/callers.py
+++ b/tools/callers.py
@@ -18,7 +18,9 @@
 RUN = "run"
 NOT_RUN = "not-run"
 NOT_KNOWN = "not-known"
-# The client got something else than one of the three outcomes.
+# The response ended early, and the caller was told so.
+CUT = "cut"
+# The client got something else than one of these.
 UNTOLD = "untold"
 
 
@@ -31,7 +33,7 @@
     service : str
         Name in the sheet.
     outcome : str
-        `RUN`, `NOT_RUN`, `NOT_KNOWN` or `UNTOLD`.
+        `RUN`, `NOT_RUN`, `NOT_KNOWN`, `CUT` or `UNTOLD`.
     duration_s : float
         Until the last byte.
     detail : str
@@ -174,8 +176,12 @@
         except openai.APIStatusError as error:
             outcome, detail = _problem(error.response)
             return Answer(calls.service, outcome, time.monotonic() - started_s, detail)
-        except (openai.APIError, httpx2.HTTPError) as error:
+        except (openai.APIConnectionError, httpx2.HTTPError) as error:
             return _untold(calls.service, started_s, repr(error))
+        except openai.APIError as error:
+            # The error event at the end of a stream, which has no status.
+            elapsed_s = time.monotonic() - started_s
+            return Answer(calls.service, CUT, elapsed_s, error.message)
         if text != answer_text(prompt, calls.n_tokens):
             return _untold(calls.service, started_s, f"not its answer: {text[:60]!r}")
         return Answer(calls.service, RUN, time.monotonic() - started_s)
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -17,7 +17,7 @@
 from absl import app, flags, logging
 from tornado.httpclient import AsyncHTTPClient
 
-from callers import NOT_KNOWN, RUN, UNTOLD, Answer, Callers, burst, count_outcomes
+from callers import CUT, NOT_KNOWN, RUN, UNTOLD, Answer, Callers, burst, count_outcomes
 from demo_plans import PLANS, Calls
 from deployments import DEPLOYMENTS, Deployment
 from launch_settings import AGENT, ENTRY, LaunchOptions
@@ -53,9 +53,10 @@
                 a.outcome == RUN and a.duration_s <= service.deadline_s for a in own
             )
             times_s = [a.duration_s for a in own if a.outcome == RUN] or [float("nan")]
+            n_not_known = counts[NOT_KNOWN] + counts[UNTOLD] + counts[CUT]
             print(
                 f"{tier.name:10} {service.name:18} {len(own):5} {counts[RUN]:5} "
-                f"{counts['not-run']:8} {counts[NOT_KNOWN] + counts[UNTOLD]:10} "
+                f"{counts['not-run']:8} {n_not_known:10} "
                 f"{n_in_time / len(own):8.1%} {statistics.median(times_s):7.2f} "
                 f"{max(times_s):7.2f}"
             )
@@ -73,7 +74,7 @@
     """
     for answer in answers:
         tier = sheet.tiers[sheet.services[answer.service].tier]
-        if answer.outcome in {UNTOLD, NOT_KNOWN}:
+        if answer.outcome in {UNTOLD, NOT_KNOWN, CUT}:
             yield f"{answer.service}: {answer.outcome} without a fault: {answer.detail}"
         elif tier.protected and answer.outcome != RUN:
             yield f"{answer.service}: lost although protected: {answer.detail}"
