--- a/tests/test_policy_fairness.py
+++ b/tests/test_policy_fairness.py
@@ -4,7 +4,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from pomelothread.policy.fairness import FairQueue
+from pomelothread.policy.fairness import MAX_PASSED_OVER, FairQueue
 
 SHARES = {"a": 1.0, "b": 2.0, "c": 7.0, "d": 0.5}
 
@@ -167,6 +167,17 @@
     assert drain(queue) == ["other", "large"]
 
 
+def test_pop_asks_for_a_bounded_number_of_items_in_each_tier():
+    # Guards against 2 ms for each call when no place is free for anything.
+    queue = FairQueue()
+    for n in range(100):
+        push(queue, f"x{n}", rank=n % 2, organisation="abcd"[n % 4])
+    asked = []
+    assert queue.pop(asked.append) is None
+    assert len(asked) == len(set(asked)) == 2 * MAX_PASSED_OVER
+    assert len(drain(queue)) == 100
+
+
 def test_an_organisation_that_empties_and_refills_gains_nothing():
     # Guards against dropping the tag of an idle organisation too early: "a"
     # always has one item and would win each time.
--- a/tests/test_policy_places.py
+++ b/tests/test_policy_places.py
@@ -73,6 +73,19 @@
     assert lowest <= limit.n_places <= highest
 
 
+def test_the_mean_gap_is_steady_where_prompts_join_the_batch():
+    # Guards predictions against an average that jumps with each prompt.
+    limit = make_limit(target_token_gap_s=0.5)
+    now_s, means, recents = 0.0, [], []
+    for n in range(200):
+        gap_s = 0.1 if n % 8 == 0 else 0.02
+        now_s = feed(limit, gap_s, 4, now_s, 0.5 * gap_s)
+        means.append(limit.mean_gap_s)
+        recents.append(limit.recent_gap_s)
+    assert max(means[100:]) / min(means[100:]) < 1.2
+    assert max(recents[100:]) / min(recents[100:]) > 1.5
+
+
 def test_it_decreases_once_in_a_response_time():
     # Guards against a collapse of the limit before the first decrease can act.
     limit = make_limit(initial=32)
--- a/tests/test_policy_routing.py
+++ b/tests/test_policy_routing.py
@@ -135,6 +135,26 @@
     assert chosen[0].instance not in first
 
 
+@pytest.mark.parametrize(
+    ("protected", "left_s", "first"),
+    [(False, 60.0, "slow"), (False, 10.0, "fast"), (True, 60.0, "fast")],
+)
+def test_a_cached_prefix_does_not_make_a_request_late(protected, left_s, first):
+    # Guards against prefill saved at the price of seconds for urgent work: the
+    # slow agent takes 10 s for this request, the fast one 3 s.
+    agents = [make_agent("fast"), make_agent("slow", token_gap_s=0.1)]
+    prefixes = [
+        n for n in range(50) if routing._weight(n, "slow") > routing._weight(n, "fast")
+    ]
+    request = make_request(
+        protected=protected,
+        left_s=left_s,
+        prefix_hashes=(prefixes[0],),
+        n_seen_prefixes=1,
+    )
+    assert choose_agents(request, agents, NOW_S)[0].instance == first
+
+
 def test_few_prefixes_move_when_an_agent_leaves():
     # Guards against a hash over the number of agents, which empties all caches.
     agents = [make_agent(f"a{n}") for n in range(10)]
