Raise the bound on load for a cached prefix to twice the mean

Cause: under overload the numbers of waiting offers differ about twofold between agents, so the bound of 1.25 kept moving prefixes to other caches.

--- a/src/pomelothread/policy/routing.py
+++ b/src/pomelothread/policy/routing.py
@@ -38,7 +38,7 @@
 
 # An agent is preferred for a cached prefix while its load is at most this many
 # times the mean load of the pool (consistent hashing with bounded loads).
-MAX_AFFINITY_LOAD = 1.25
+MAX_AFFINITY_LOAD = 2.0
 # An agent is good enough for a cached prefix up to this ratio to the shortest
 # predicted run, or, for unprotected work, if it would use this share of the time left.
 GOOD_RUN_RATIO = 1.5
