--- a/src/pomelothread/policy/routing.py
+++ b/src/pomelothread/policy/routing.py
@@ -1,9 +1,9 @@
 """Which agents get an offer for a request, in which order and when."""
 
 import struct
-from collections import OrderedDict
 from collections.abc import Sequence
 from dataclasses import dataclass
+from functools import lru_cache
 from hashlib import blake2b
 
 from .prediction import (
@@ -17,6 +17,7 @@
     predict_run_s,
     predict_wait_s,
 )
+from .prefixes import CHARS_PER_TOKEN, FIRST_PREFIX_CHARS, SeenPrefixes, prefix_hashes
 
 __all__ = [
     "MAX_OFFERS",
@@ -31,11 +32,6 @@
     "schedule_offers",
 ]
 
-# Prefixes of 256, 512, ... 8192 characters; about four characters are a token.
-FIRST_PREFIX_CHARS = 256
-N_PREFIXES = 6
-CHARS_PER_TOKEN = 4
-
 # An agent is preferred for a cached prefix while its load is at most this many
 # times the mean load of the pool (consistent hashing with bounded loads).
 MAX_AFFINITY_LOAD = 2.0
@@ -77,82 +73,6 @@
     delay_s: float
 
 
-class SeenPrefixes:
-    """Prefixes that this entry has sent recently, bounded in number.
-
-    Tells how much of a prompt other requests share, which a single prompt does
-    not show. A prefix is forgotten when `max_prefixes` newer ones were seen.
-
-    Parameters
-    ----------
-    max_prefixes : int
-        How many prefixes are remembered; each takes about 100 bytes.
-    """
-
-    __slots__ = ("_max_prefixes", "_seen")
-
-    def __init__(self, max_prefixes: int = 10_000) -> None:
-        self._max_prefixes = max_prefixes
-        self._seen: OrderedDict[int, None] = OrderedDict()
-
-    def observe(self, hashes: Sequence[int]) -> int:
-        """Remember the prefixes of a prompt.
-
-        Parameters
-        ----------
-        hashes : sequence of int
-            As returned by `prefix_hashes`, shortest prefix first.
-
-        Returns
-        -------
-        int
-            How many of them had been seen before, for
-            `RequestFacts.n_seen_prefixes`.
-        """
-        n_seen = 0
-        for prefix in hashes:
-            if prefix in self._seen:
-                n_seen += 1
-                self._seen.move_to_end(prefix)
-            else:
-                self._seen[prefix] = None
-        while len(self._seen) > self._max_prefixes:
-            self._seen.popitem(last=False)
-        return n_seen
-
-
-def prefix_hashes(text: str) -> tuple[int, ...]:
-    """Hash prefixes of a prompt whose lengths double.
-
-    Parameters
-    ----------
-    text : str
-        The prompt, including the system message.
-
-    Returns
-    -------
-    tuple of int
-        One 63-bit number for each complete prefix of 256, 512, ... 8192
-        characters, shortest first; the same in every process.
-
-    Examples
-    --------
-    >>> prefix_hashes("short")
-    ()
-    >>> a, b = prefix_hashes("x" * 600), prefix_hashes("x" * 300)
-    >>> len(a), a[0] == b[0]
-    (2, True)
-    """
-    digest = blake2b(digest_size=8)
-    hashes: list[int] = []
-    start, end = 0, FIRST_PREFIX_CHARS
-    while end <= len(text) and len(hashes) < N_PREFIXES:
-        digest.update(text[start:end].encode("utf-8", "surrogatepass"))
-        hashes.append(int.from_bytes(digest.digest(), "big") >> 1)
-        start, end = end, 2 * end
-    return tuple(hashes)
-
-
 def choose_agents(
     request: RequestFacts,
     agents: Sequence[AgentView],
@@ -190,7 +110,8 @@
     if not usable:
         return []
     rates = pool_rates(usable)
-    scores = _scores_s(request, usable, rates, now_s)
+    finishes_s = _finishes_s(request, usable, rates, now_s)
+    scores = _scores_s(request, usable, rates, now_s, finishes_s)
     n_offers = MAX_OFFERS if request.protected else N_OFFERS
 
     def sort_key(agent: AgentView) -> tuple[float, int]:
@@ -198,8 +119,10 @@
 
     own = [agent for agent in usable if agent.region == request.region]
     own.sort(key=sort_key)
-    if own and not _may_cross(request, own, rates, now_s):
-        return own[:n_offers]
+    if own:
+        best_s = min(finishes_s[agent.instance] for agent in own)
+        if not _may_cross(request, now_s + best_s):
+            return own[:n_offers]
     others = [agent for agent in usable if agent.region != request.region]
     others.sort(key=sort_key)
     if not others:
@@ -236,13 +159,13 @@
     if not chosen:
         return []
     rates = pool_rates(chosen)
-    finishes_s = [predict_finish_s(request, agent, rates, now_s) for agent in chosen]
-    scores = _scores_s(request, chosen, rates, now_s)
+    finishes_s = _finishes_s(request, chosen, rates, now_s)
+    scores = _scores_s(request, chosen, rates, now_s, finishes_s)
     best_has_place = predict_wait_s(request, chosen[0], rates, now_s) == 0.0
-    slack_s = request.deadline_at_s - now_s - finishes_s[0]
+    slack_s = request.deadline_at_s - now_s - finishes_s[chosen[0].instance]
     schedule = []
     for rank, agent in enumerate(chosen):
-        is_late = now_s + finishes_s[rank] > request.deadline_at_s
+        is_late = now_s + finishes_s[agent.instance] > request.deadline_at_s
         extra_s = scores[agent.instance] - scores[chosen[0].instance]
         delay_s = offer_delay_s(rank, extra_s, slack_s, best_has_place, is_late)
         if agent.region != chosen[0].region:
@@ -310,8 +233,26 @@
     )
 
 
-def _scores_s(
+# Some 8,000 weights take 1 MB and cover 500 prefixes in a pool of 16 agents.
+_prefix_weight = lru_cache(maxsize=8192)(_weight)
+
+
+def _finishes_s(
     request: RequestFacts, agents: Sequence[AgentView], rates: PoolRates, now_s: float
+) -> dict[str, float]:
+    """Return predicted finish by instance."""
+    return {
+        agent.instance: predict_finish_s(request, agent, rates, now_s)
+        for agent in agents
+    }
+
+
+def _scores_s(
+    request: RequestFacts,
+    agents: Sequence[AgentView],
+    rates: PoolRates,
+    now_s: float,
+    finishes_s: dict[str, float],
 ) -> dict[str, float]:
     """Return predicted finish by instance, less a bonus for a cached prefix.
 
@@ -319,12 +260,9 @@
     prefix that are good enough. Predicted finish alone would nearly always
     choose the fastest engines, whose caches cannot hold all prefixes.
     """
-    scores = {
-        agent.instance: predict_finish_s(request, agent, rates, now_s)
-        for agent in agents
-    }
     if not request.prefix_hashes:
-        return scores
+        return finishes_s
+    scores = dict(finishes_s)
     prefix, n_cached = _shared_prefix(request)
     best_s = min(scores.values())
     # Time to run, without that to wait: under load the predicted waits change
@@ -342,7 +280,7 @@
         and runs_s[agent.instance] <= good_s
         and _load(agent) <= max(max_load, 1.0)
     ]
-    good.sort(key=lambda agent: _weight(prefix, agent.instance), reverse=True)
+    good.sort(key=lambda agent: _prefix_weight(prefix, agent.instance), reverse=True)
     for place, agent in enumerate(good[:2]):
         prefill_rate = agent.prefill_tokens_per_s or rates.prefill_tokens_per_s
         bonus_s = AFFINITY_WEIGHT * n_cached / prefill_rate
@@ -368,10 +306,11 @@
     return (n_used + n_waiting / N_OFFERS) / max(1, agent.n_places)
 
 
-def _may_cross(
-    request: RequestFacts, own: Sequence[AgentView], rates: PoolRates, now_s: float
-) -> bool:
-    """Return whether the request may leave the region although it has agents."""
+def _may_cross(request: RequestFacts, finish_at_s: float) -> bool:
+    """Return whether the request may leave its region.
+
+    `finish_at_s` is the earliest predicted finish in the region.
+    """
     n_bytes = (
         request.n_input_tokens * BYTES_PER_INPUT_TOKEN
         + request.n_output_tokens * BYTES_PER_OUTPUT_TOKEN
@@ -381,7 +320,4 @@
         if request.protected
         else MAX_CROSS_REGION_BYTES
     )
-    if n_bytes > max_bytes:
-        return False
-    best_s = min(predict_finish_s(request, agent, rates, now_s) for agent in own)
-    return now_s + best_s > request.deadline_at_s
+    return n_bytes <= max_bytes and finish_at_s > request.deadline_at_s
--- a/tools/evaluate_policy.py
+++ b/tools/evaluate_policy.py
@@ -225,7 +225,8 @@
         request.charge = {"tier_rank": rank, "organisation": organisation}
         request.charge |= {"share": 1.0, "cost": n_in + n_max}
         request.n_output = rng.randint(1 + n_max // 2, n_max)
-        self.counts["offered", rank] += facts.deadline_at_s < DURATION_S
+        request.is_counted = now_s > WARM_UP_S and facts.deadline_at_s < DURATION_S
+        self.counts["offered", rank] += request.is_counted
         self.counts["wanted", request.group] += (now_s > WARM_UP_S) * sum(sizes)
         self.at(rng.expovariate(self.arrival_rate), self._arrive)
         waiting = shedding.WaitingSummary(len(self.waiting))
@@ -257,7 +258,7 @@
         """Take in the end of a request."""
         rank, deadline_at_s = request.group[0], request.facts.deadline_at_s
         is_good = self.now_s <= deadline_at_s
-        if deadline_at_s < DURATION_S:
+        if request.is_counted:
             self.counts["good", rank] += is_good
             self.checks_s += [self.now_s - request.arrived_s] * (rank == 0)
         if is_good and self.now_s > WARM_UP_S:
