--- a/src/pomelothread/agent/process.py
+++ b/src/pomelothread/agent/process.py
@@ -45,7 +45,8 @@
 from .adapters import AdapterKeeper
 from .crash_reports import CrashReports
 from .dispatcher import Dispatcher, wait_until_idle
-from .grants import ENTRY_SILENCE_S, Grants, Reply
+from .entries import EntryTable
+from .grants import Grants
 from .http import agent_routes
 from .orders import Orders
 from .rates import Rates
@@ -81,8 +82,6 @@
         self._http_address = ""
         self._is_stopping = False
         self._is_ready = False
-        self._leaving_said_by_entries: set[str] = set()
-        self._entries: dict[str, tuple[str, float]] = {}
         places = settings.places
         node = settings.node
         limit = PlaceLimit(
@@ -94,6 +93,7 @@
             places.reserved_share,
         )
         self._channel = ControlChannel(settings.control_address)
+        self._entries = EntryTable(self._channel, clock)
         self._grants = Grants(self.incarnation, limit, clock)
         self._grants.state = CLOSED
         self._rates = Rates()
@@ -153,7 +153,7 @@
             clock=clock,
             tracer=setup_tracing(settings.tracing, "pomelothread-agent", node.instance),
             rates=self._rates,
-            send_replies=self._send_replies,
+            send_replies=self._entries.send_replies,
             on_cut=self._reports.connection_cut,
         )
         self._adapters = AdapterKeeper(
@@ -277,20 +277,18 @@
                 case _:
                     self._channel.n_unknown += 1
                     replies = []
-            self._send_replies(replies)
+            self._entries.send_replies(replies)
 
     async def _beat(self) -> None:
         """Send heartbeats to all entries that have been heard."""
         while True:
-            self._forget_silent_entries()
+            self._entries.forget_silent()
             self._send_beats()
             self._channel.log_unknown()
             await self._clock.sleep(BEAT_PERIOD_S)
 
     def _send_beats(self) -> None:
-        beat = self._agent_beat()
-        for inbox, _ in self._entries.values():
-            self._channel.send(inbox, beat)
+        self._entries.send_beat(self._agent_beat())
 
     async def _watch_places(self) -> None:
         """Expire grants and notice a stalled upstream."""
@@ -303,41 +301,15 @@
             if report is not None and report.received_s > last_report_s:
                 last_report_s = report.received_s
                 limit.observe_engine_queue(report.n_waiting, now_s)
-            self._send_replies(self._grants.expire())
+            self._entries.send_replies(self._grants.expire())
             await self._clock.sleep(WATCH_PERIOD_S)
 
     def _hear_entry(self, beat: EntryBeat) -> None:
-        is_new = beat.incarnation not in self._entries
-        now_s = self._clock.monotonic_s()
-        self._entries[beat.incarnation] = (beat.inbox, now_s)
         self._grants.hear_entry(beat.incarnation)
-        if self._settings.node.instance in beat.leaving_instances:
-            self._leaving_said_by_entries.add(beat.incarnation)
-        else:
-            self._leaving_said_by_entries.discard(beat.incarnation)
-        if is_new:
-            log_event(
-                _logger, Event.PEER_UP, instance=beat.instance, address=beat.inbox
-            )
-            self._channel.send(beat.inbox, self._agent_beat())
+        if self._entries.hear(beat):
+            self._send_beats()
         self._update_state()
 
-    def _forget_silent_entries(self) -> None:
-        now_s = self._clock.monotonic_s()
-        for incarnation, (inbox, heard_at_s) in list(self._entries.items()):
-            if now_s - heard_at_s <= ENTRY_SILENCE_S:
-                continue
-            del self._entries[incarnation]
-            self._leaving_said_by_entries.discard(incarnation)
-            self._channel.forget(inbox)
-            log_event(
-                _logger,
-                Event.PEER_DOWN,
-                instance=incarnation,
-                address=inbox,
-                cause="no heartbeat",
-            )
-
     def _agent_beat(self) -> AgentBeat:
         grants = self._grants
         node = self._settings.node
@@ -363,12 +335,6 @@
             sheet_version=self._surroundings.sheet.version,
         )
 
-    def _send_replies(self, replies: list[Reply]) -> None:
-        for reply in replies:
-            entry = self._entries.get(reply.entry)
-            if entry is not None:
-                self._channel.send(entry[0], reply.message)
-
     def _use_health(self, change: HealthChange) -> None:
         url = self._settings.upstream.url
         match change:
@@ -406,12 +372,12 @@
                 log_event(_logger, Event.AGENT_READY, sheet_version=version)
         else:
             replies = self._grants.close(state)
-        self._send_replies(replies)
+        self._entries.send_replies(replies)
         self._send_beats()
 
     def _wanted_state(self) -> str:
         instance = self._settings.node.instance
-        is_leaving = bool(self._leaving_said_by_entries) or any(
+        is_leaving = self._entries.say_leaving(instance) or any(
             leaving.name == instance
             for leaving in self._surroundings.membership.leaving()
         )
