Take an undelimited answer for a lost one

Cause: an upstream's whole answer without a length or chunked coding ends with its connection, and so does one whose upstream crashed midway; the agent took both for complete. It now answers 'not known' for them. Plain services that speak HTTP/1.0 without Content-Length are thereby not supported.

--- a/src/pomelothread/agent/dispatcher.py
+++ b/src/pomelothread/agent/dispatcher.py
@@ -3,8 +3,6 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable, Mapping
-from dataclasses import dataclass
-from typing import Protocol
 
 from opentelemetry.trace import SpanKind, Tracer
 
@@ -31,12 +29,12 @@
     NotConnected,
     ResponseHead,
 )
-from ..peers.messages import Offer
 from ..policy.crashes import CrashBook
 from ..tracing import extract_context, inject_context
-from .grants import Grants, Place, Reply
+from .grants import Grants, Reply
 from .orders import Orders
 from .rates import Rates
+from .running import DispatchOutcome, DispatchSink, NotDispatched, RunningRequest
 
 _logger = logging.getLogger(__name__)
 
@@ -45,76 +43,6 @@
 RETRY_AFTER_S = 2.0
 
 
-class DispatchSink(Protocol):
-    """Where the answer to an entry's POST goes."""
-
-    def start(self, status: int, headers: list[tuple[str, str]]) -> None:
-        """Send the head of the upstream's response."""
-        ...
-
-    async def write(self, chunk: bytes) -> None:
-        """Send part of the body."""
-        ...
-
-    def finish(self) -> None:
-        """End the response; everything was sent."""
-        ...
-
-    def abort(self) -> None:
-        """Close without a proper end."""
-        ...
-
-
-@dataclass(frozen=True, slots=True)
-class NotDispatched:
-    """Nothing was sent to the upstream, and this POST never will be.
-
-    Parameters
-    ----------
-    reason : str
-        One of the constants of `pomelothread.peers.dispatch`.
-    """
-
-    reason: str
-
-
-# None means that the sink has been given a response.
-DispatchOutcome = Run | NotRun | NotKnown | NotDispatched | None
-
-
-@dataclass(slots=True)
-class RunningRequest:
-    """A request at the upstream.
-
-    Parameters
-    ----------
-    place : Place
-        What it holds until it has ended.
-    dispatch : Dispatch
-        What the entry asked for.
-    fingerprint : str
-        Identifies its content.
-    ran_alone : bool
-        Whether no other request ran at any time while it did.
-    exchange : Exchange or None
-        With the upstream, once it is open.
-    entry_left : bool
-        Whether the entry closed its connection.
-    """
-
-    place: Place
-    dispatch: Dispatch
-    fingerprint: str
-    ran_alone: bool
-    exchange: Exchange | None = None
-    entry_left: bool = False
-
-    @property
-    def offer(self) -> Offer:
-        """The offer that the place was granted for."""
-        return self.place.offer
-
-
 class Dispatcher:
     """Sends requests to the upstream, each at most once.
 
@@ -357,7 +285,8 @@
             await self._stream(running, exchange, sink, started_at_s)
             return None
         body = await exchange.read_whole(MAX_WHOLE_RESPONSE_BYTES)
-        if isinstance(body, bytes):
+        # A body that ends with its connection may have lost its end in a crash.
+        if isinstance(body, bytes) and exchange.end == Complete(is_delimited=True):
             now_s = self._clock.monotonic_s()
             self._grants.limit.observe_success(len(self._running), now_s)
             return Run(head.status, tuple(headers), body)
--- a/src/pomelothread/agent/http.py
+++ b/src/pomelothread/agent/http.py
@@ -18,8 +18,9 @@
     Dispatch,
 )
 from ..peers.node import send_at_once
-from .dispatcher import Dispatcher, NotDispatched, RunningRequest
+from .dispatcher import Dispatcher
 from .orders import Orders
+from .running import NotDispatched, RunningRequest
 
 
 @dataclass(slots=True)
