Drop an empty control frame instead of failing on it

Cause: pynng's recv raises RuntimeError for a frame without content (it unpacks a null pointer), so one empty frame from a stranger made the receiving callback fail with a traceback. It is counted as unknown now.

--- a/src/pomelothread/peers/control.py
+++ b/src/pomelothread/peers/control.py
@@ -148,6 +148,10 @@
                 data = self._inbox.recv(block=False)
             except pynng.NNGException:
                 return
+            except RuntimeError:
+                # pynng cannot unpack an empty frame, which no peer of ours sends.
+                self.n_unknown += 1
+                continue
             self.n_received_bytes += len(data)
             for raw in self._decode_frame(data):
                 message = decode_message(raw)
