Spend no place and no prefill on unprotected work that would be late

Cause: the estimate at admission is the only one that looked at a deadline. A request that waited too long was still granted a place and computed for nothing. The agent now passes over unprotected offers that would not finish in the time left, by its own latest measurements, and the entry answers waiting ones 'deadline-unreachable' with each heartbeat once no agent could finish them. Protected work is exempt from both.

The agent also tells the place limit how many prompts are being computed, so that a long prompt is not taken for a stall; and asks the queue only if any place is free.

Not yet measured on the real processes.

--- a/src/pomelothread/agent/dispatcher.py
+++ b/src/pomelothread/agent/dispatcher.py
@@ -29,7 +29,9 @@
     NotConnected,
     ResponseHead,
 )
+from ..peers.messages import Offer
 from ..policy.crashes import CrashBook
+from ..policy.prediction import DEFAULT_PREFILL_TOKENS_PER_S
 from ..tracing import extract_context, inject_context
 from .grants import Grants, Reply
 from .orders import Orders
@@ -41,6 +43,8 @@
 MAX_WHOLE_RESPONSE_BYTES = 64 * 1024 * 1024
 EVENT_STREAM = "text/event-stream"
 RETRY_AFTER_S = 2.0
+# Prompts share the engine with the batch, which delays them about twofold.
+PREFILL_TOLERANCE = 2.0
 
 
 class Dispatcher:
@@ -105,6 +109,16 @@
         """Streams that have sent their first chunk and have not ended."""
         return self._n_streaming
 
+    @property
+    def n_prefilling(self) -> int:
+        """Requests whose prompt the engine is probably still computing.
+
+        A whole answer shows nothing before its end, so a request counts only
+        as long as its prefill should take.
+        """
+        now_s = self._clock.monotonic_s()
+        return sum(r.prefill_until_s > now_s for r in self._running.values())
+
     async def dispatch(
         self,
         dispatch: Dispatch,
@@ -240,6 +254,7 @@
         if dispatch.key:
             headers["Idempotency-Key"] = dispatch.key
         started_at_s = self._clock.monotonic_s()
+        running.prefill_until_s = started_at_s + self._prefill_s(running.offer)
         with self._tracer.start_as_current_span(
             "agent.upstream", kind=SpanKind.CLIENT
         ) as span:
@@ -309,13 +324,16 @@
                 now_s = self._clock.monotonic_s()
                 if last_at_s is None:
                     self._n_streaming += 1
+                    running.prefill_until_s = 0.0
                     self._rates.first_token(
                         running.offer.n_input_tokens, now_s - started_at_s
                     )
                 else:
                     n_tokens = max(1, chunk.count(b"data:"))
                     gap_s = (now_s - last_at_s) / n_tokens
-                    limit.observe_token_gap(gap_s, self._n_streaming, now_s)
+                    limit.observe_token_gap(
+                        gap_s, self._n_streaming, now_s, self.n_prefilling
+                    )
                 last_at_s = now_s
                 await sink.write(chunk)
         finally:
@@ -330,6 +348,10 @@
                 await self._cut(running)
                 sink.abort()
 
+    def _prefill_s(self, offer: Offer) -> float:
+        rate = self._rates.prefill_tokens_per_s or DEFAULT_PREFILL_TOKENS_PER_S
+        return PREFILL_TOLERANCE * offer.n_input_tokens / rate
+
     def _is_order(self, dispatch: Dispatch, service: Service) -> bool:
         # Either sheet may be the newer one; an order too many is harmless.
         return dispatch.never_repeated or service.repeat == REPEAT_NEVER
--- a/src/pomelothread/agent/grants.py
+++ b/src/pomelothread/agent/grants.py
@@ -80,10 +80,15 @@
         How many places the upstream has.
     clock : Clock
         Source of monotonic time.
+    can_finish : callable, optional
+        Says whether an offer that starts now would finish within the seconds
+        that are left to it. Unprotected offers that would not get no place.
     """
 
     __slots__ = (
+        "_can_finish",
         "_clock",
+        "_deadlines_s",
         "_entries_heard_at_s",
         "_granted",
         "_granted_by_request",
@@ -99,8 +104,16 @@
         "state",
     )
 
-    def __init__(self, incarnation: str, limit: PlaceLimit, clock: Clock) -> None:
+    def __init__(
+        self,
+        incarnation: str,
+        limit: PlaceLimit,
+        clock: Clock,
+        can_finish: Callable[[Offer, float], bool] = lambda offer, left_s: True,
+    ) -> None:
         self._incarnation = incarnation
+        self._can_finish = can_finish
+        self._deadlines_s: dict[str, float] = {}
         self._clock = clock
         self._next_grant = 1
         self._granted: dict[int, _Granted] = {}
@@ -155,6 +168,7 @@
             return [self._grant_reply(grant, now_s)]
         if self.floors.is_below(offer.pool, offer.tier_rank, now_s):
             return [self._refuse(offer, "floor")]
+        self._deadlines_s[offer.request_id] = now_s + offer.deadline_ms / 1000
         self.queue.push(
             offer.request_id,
             offer,
@@ -167,7 +181,7 @@
 
     def withdraw(self, message: Withdraw) -> list[Reply]:
         """Drop an offer; a grant already made for it is taken back."""
-        self.queue.remove(message.request_id)
+        self._remove(message.request_id)
         grant = self._granted_by_request.get(message.request_id)
         if grant is None:
             return []
@@ -206,7 +220,7 @@
         self.floors.raise_floor(message.pool, message.tier_rank, now_s, FLOOR_LIFE_S)
         replies = []
         for key, offer in self.queue.items_above(message.tier_rank):
-            self.queue.remove(key)
+            self._remove(key)
             replies.append(self._refuse(offer, "floor"))
         raised = FloorRaised(
             self._incarnation, message.pool, message.tier_rank, message.floor_number
@@ -258,7 +272,7 @@
         self.state = state
         replies = []
         for key, offer in self.queue.items_above(-1):
-            self.queue.remove(key)
+            self._remove(key)
             replies.append(self._refuse(offer, "leaving"))
         return replies
 
@@ -284,7 +298,7 @@
         if silent:
             for key, offer in self.queue.items_above(-1):
                 if offer.incarnation in silent:
-                    self.queue.remove(key)
+                    self._remove(key)
         self._forget_used(now_s)
         return self.fill()
 
@@ -294,11 +308,12 @@
         if self.state != OPEN:
             return replies
         now_s = self._clock.monotonic_s()
-        while len(self.queue):
-            popped = self.queue.pop(self._first_if_it_fits())
+        while len(self.queue) and self._has_place():
+            popped = self.queue.pop(self._first_if_it_fits(now_s))
             if popped is None:
                 break
-            _, offer = popped
+            key, offer = popped
+            del self._deadlines_s[key]
             grant = self._next_grant
             self._next_grant += 1
             self._granted[grant] = _Granted(offer, now_s + GRANT_LIFE_S)
@@ -310,8 +325,17 @@
         """Estimate how many more requests of any tier would get a place now."""
         return max(0, self.limit.n_places - self.n_taken)
 
-    def _first_if_it_fits(self) -> Callable[[Offer], bool]:
-        """Return a test that only the first offer in the queue can pass.
+    def _remove(self, key: str) -> None:
+        self.queue.remove(key)
+        self._deadlines_s.pop(key, None)
+
+    def _has_place(self) -> bool:
+        taken = self._taken()
+        n_unprotected = sum(not other.protected for other in taken)
+        return self.limit.has_place(len(taken), n_unprotected, protected=True)
+
+    def _first_if_it_fits(self, now_s: float) -> Callable[[Offer], bool]:
+        """Return a test that only the first offer that is in time can pass.
 
         Otherwise a small request of a lower tier would overtake a protected one
         that waits for context, and a long report could wait for ever.
@@ -322,14 +346,16 @@
             nonlocal is_first
             if not is_first:
                 return False
+            left_s = self._deadlines_s[offer.request_id] - now_s
+            if not offer.protected and not self._can_finish(offer, left_s):
+                return False
             is_first = False
             return self._fits(offer)
 
         return fits
 
     def _fits(self, offer: Offer) -> bool:
-        taken = [granted.offer for granted in self._granted.values()]
-        taken += [place.offer for place in self._running.values()]
+        taken = self._taken()
         if taken and (offer.solo or any(other.solo for other in taken)):
             return False
         return self.limit.allows(
@@ -340,6 +366,10 @@
             protected=offer.protected,
         )
 
+    def _taken(self) -> list[Offer]:
+        taken = [granted.offer for granted in self._granted.values()]
+        return taken + [place.offer for place in self._running.values()]
+
     def _grant_reply(self, grant: int, now_s: float) -> Reply:
         granted = self._granted[grant]
         life_ms = max(0, round((granted.expires_at_s - now_s) * 1000))
--- a/src/pomelothread/agent/process.py
+++ b/src/pomelothread/agent/process.py
@@ -39,6 +39,7 @@
 from ..peers.surroundings import PlatformAddresses, Surroundings
 from ..policy.crashes import CRASH_TOPIC, CrashBook
 from ..policy.places import PlaceLimit
+from ..policy.prediction import can_finish
 from ..settings import AgentSettings
 from ..tracing import setup_tracing
 from ..upstreams.health import Down, Gone, HealthChange, Up, UpstreamHealth
@@ -96,7 +97,7 @@
         )
         self._channel = ControlChannel(settings.control_address)
         self._entries = EntryTable(self._channel, clock)
-        self._grants = Grants(self.incarnation, limit, clock)
+        self._grants = Grants(self.incarnation, limit, clock, self._can_finish)
         self._grants.state = CLOSED
         self._rates = Rates()
         self._metrics = Metrics(clock)
@@ -294,7 +295,9 @@
         last_report_s = 0.0
         while True:
             now_s = self._clock.monotonic_s()
-            limit.is_straggling(now_s, self._dispatcher.n_streaming)
+            limit.is_straggling(
+                now_s, self._dispatcher.n_streaming, self._dispatcher.n_prefilling
+            )
             report = self._load.latest
             if report is not None and report.received_s > last_report_s:
                 last_report_s = report.received_s
@@ -324,7 +327,7 @@
             n_places=grants.limit.n_places,
             n_free_places=grants.n_free_places(),
             waiting_by_rank=grants.queue.counts_by_rank(),
-            token_gap_s=grants.limit.recent_gap_s,
+            token_gap_s=grants.limit.mean_gap_s,
             prefill_tokens_per_s=self._rates.prefill_tokens_per_s,
             service_time_s=self._rates.service_time_s,
             floors=grants.floors.active(now_s),
@@ -390,6 +393,16 @@
             known.name == instance for known in self._surroundings.membership.all()
         )
 
+    def _can_finish(self, offer: Offer, left_s: float) -> bool:
+        return can_finish(
+            offer.n_input_tokens,
+            offer.n_output_tokens,
+            left_s,
+            self._grants.limit.mean_gap_s,
+            self._rates.prefill_tokens_per_s,
+            self._rates.service_time_s,
+        )
+
     def _instances_of_pool(self) -> list[str]:
         live = self._surroundings.membership.live(ROLE, self._settings.pool)
         return [instance.name for instance in live]
--- a/src/pomelothread/agent/running.py
+++ b/src/pomelothread/agent/running.py
@@ -65,6 +65,9 @@
         With the upstream, once it is open.
     entry_left : bool
         Whether the entry closed its connection.
+    prefill_until_s : float
+        Monotonic time by which its first token is expected, and 0 from then on
+        when it has come.
     """
 
     place: Place
@@ -73,6 +76,7 @@
     ran_alone: bool
     exchange: Exchange | None = None
     entry_left: bool = False
+    prefill_until_s: float = 0.0
 
     @property
     def offer(self) -> Offer:
--- a/src/pomelothread/entry/admission.py
+++ b/src/pomelothread/entry/admission.py
@@ -10,7 +10,15 @@
 from ..operators.sheet import Organisation
 from ..outcomes import NotRun, Reason
 from ..peers.waiting import wait_at_most
-from ..policy.shedding import FLOOR_LEAD_S, Limits, Reject, WaitingSummary, admit
+from ..policy.routing import AgentView
+from ..policy.shedding import (
+    FLOOR_LEAD_S,
+    Limits,
+    Reject,
+    WaitingSummary,
+    admit,
+    is_hopeless,
+)
 from .agents import AgentTable
 from .floors import FloorRequests
 from .offers import SHED_RETRY_AFTER_S, Offers
@@ -131,6 +139,20 @@
         if not waiting.settled.done():
             self._offers.offer(waiting)
 
+    def give_up_hopeless(self) -> None:
+        """Settle what would be late even if it started now, at once."""
+        now_s = self._clock.monotonic_s()
+        views: dict[str, list[AgentView]] = {}
+        for waiting in self._waiting:
+            if waiting.pool not in views:
+                views[waiting.pool] = self._agents.views(waiting.pool)
+            if not is_hopeless(waiting.facts, views[waiting.pool], now_s):
+                continue
+            outcome = NotRun(Reason.DEADLINE_UNREACHABLE, "", SHED_RETRY_AFTER_S)
+            if waiting.settle(outcome):
+                self._waiting.remove(waiting)
+                self._offers.withdraw(waiting)
+
     async def wait_for_place(
         self, waiting: WaitingRequest, span: Span
     ) -> Binding | NotRun:
--- a/src/pomelothread/entry/process.py
+++ b/src/pomelothread/entry/process.py
@@ -198,6 +198,7 @@
         """Send heartbeats and repeat open offers."""
         while True:
             self._send_beats()
+            self._scheduler.give_up_hopeless()
             self._offers.repeat_due()
             for gone in self._agents.forget_silent():
                 self._channel.forget(gone.beat.inbox)
--- a/src/pomelothread/entry/scheduler.py
+++ b/src/pomelothread/entry/scheduler.py
@@ -132,6 +132,10 @@
         """Requests without a final answer."""
         return len(self._active)
 
+    def give_up_hopeless(self) -> None:
+        """Answer waiting requests that would be late even if they started now."""
+        self._queue.give_up_hopeless()
+
     def use_sheet(self, sheet: Sheet) -> None:
         """Put a newer sheet in force for requests that arrive from now on."""
         self._sheet = sheet
--- a/tests/test_grants.py
+++ b/tests/test_grants.py
@@ -232,3 +232,18 @@
     number = offer_one(grants)
     (again,) = granted(grants.offer(make_offer("r1")))
     assert again.grant == number
+
+
+def test_an_unprotected_offer_that_would_be_late_gets_no_place_but_a_check_does():
+    clock = ManualClock(datetime(2026, 3, 1, tzinfo=UTC))
+    limit = PlaceLimit(4, 1, 4, 100_000, 0.041, 0.0)
+    grants = Grants(AGENT, limit, clock, lambda offer, left_s: left_s > 5.0)
+    late = msgspec.structs.replace(make_offer("late"), deadline_ms=4000)
+    check = msgspec.structs.replace(
+        make_offer("check", rank=0, protected=True), deadline_ms=4000
+    )
+    assert not granted(grants.offer(late))
+    assert [g.request_id for g in granted(grants.offer(check))] == ["check"]
+    assert [g.request_id for g in granted(grants.offer(make_offer("other")))] == [
+        "other"
+    ]
