--- a/tests/test_policy_fairness.py
+++ b/tests/test_policy_fairness.py
@@ -4,7 +4,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from pomelothread.policy.fairness import FairQueue
+from pomelothread.policy.fairness import MAX_PASSED_OVER, FairQueue
 
 SHARES = {"a": 1.0, "b": 2.0, "c": 7.0, "d": 0.5}
 
@@ -167,17 +167,32 @@
     assert drain(queue) == ["other", "large"]
 
 
-def test_an_organisation_that_empties_and_refills_gains_nothing():
+def test_pop_asks_for_a_bounded_number_of_items_in_each_tier():
+    # Guards against 2 ms for each call when no place is free for anything.
+    queue = FairQueue()
+    for n in range(100):
+        push(queue, f"x{n}", rank=n % 2, organisation="abcd"[n % 4])
+    asked = []
+    assert queue.pop(asked.append) is None
+    assert len(asked) == len(set(asked)) == 2 * MAX_PASSED_OVER
+    assert len(drain(queue)) == 100
+
+
+@pytest.mark.parametrize(
+    ("cost_a", "cost_b", "n_a"), [(100.0, 100.0, 20), (10.0, 200.0, 54)]
+)
+def test_an_organisation_that_empties_and_refills_gains_nothing(cost_a, cost_b, n_a):
     # Guards against dropping the tag of an idle organisation too early: "a"
-    # always has one item and would win each time.
+    # always has one item and would win more often than its share of a third.
     queue = FairQueue()
-    for n in range(20):
-        push(queue, f"b{n}", organisation="b")
+    for n in range(70):
+        push(queue, f"b{n}", organisation="b", cost=cost_b)
     served = []
-    for n in range(15):
-        push(queue, f"a{n}", organisation="a")
+    for n in range(60):
+        if queue.counts_by_rank()[0] == 70 - served.count("b"):
+            push(queue, f"a{n}", organisation="a", cost=cost_a)
         served.append(queue.pop()[0][0])
-    assert served.count("a") <= 6
+    assert abs(served.count("a") - n_a) <= 1
     assert queue.n_organisations() <= 2
 
 
