Notice the end of a log outage at once

Cause: after a failed read the follower of the sheet went back to a long poll, which returns only with a record or after 5 s. An outage of 3 s was reported as 9.0 s, and the process took its peers' sheet for longer than needed. The first read after a failure no longer waits; the tail of other topics did so already.

The new case of tests/test_following.py failed before the change and passes.

--- a/src/pomelothread/operators/following.py
+++ b/src/pomelothread/operators/following.py
@@ -97,19 +97,21 @@
     random = Random() if random is None else random
     report = on_status if on_status is not None else _ignore_status
     is_at_end = False
+    is_out = False
     carry_at_s: float | None = None
     while True:
-        # The end is found without waiting, so that a process is ready at once.
-        max_wait_s = settings.max_wait_s if is_at_end else 0.0
+        # The end, and the end of an outage, are found without waiting.
+        max_wait_s = settings.max_wait_s if is_at_end and not is_out else 0.0
         if carry_at_s is not None:
             max_wait_s = min(max_wait_s, max(0.0, carry_at_s - clock.monotonic_s()))
         match await log.read(TOPIC, replica.next_offset, max_wait_s):
             case Failure(failure):
+                is_out = True
                 report(FollowStatus(is_at_end, failure))
                 await clock.sleep(READ_RETRY_S)
                 continue
             case Success(batch):
-                pass
+                is_out = False
         for record in batch.records:
             if (change := replica.apply(record)) is not None:
                 on_change(change)
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -153,6 +153,20 @@
     run(case)
 
 
+def test_the_end_of_an_outage_is_noticed_before_the_next_record():
+    async def case(fleet: Fleet) -> None:
+        await fleet.publish(Sheet(), V1)
+        node = await fleet.start("a")
+        fleet.log.faults.down = True
+        await fleet.pass_time(10.0)
+        assert node.statuses[-1].failure is not None
+        fleet.log.faults.down = False
+        await fleet.pass_time(1.5)
+        assert node.statuses[-1].failure is None
+
+    run(case)
+
+
 def test_a_gap_without_records_is_noted_and_a_late_loser_is_not_taken():
     # Guards against a follower that reads the deleted offsets again and again.
     async def case(fleet: Fleet) -> None:
