--- a/src/pomelothread/peers/command.py
+++ b/src/pomelothread/peers/command.py
@@ -20,6 +20,10 @@
 Example:
   pomelothread-{role} --settings=/etc/pomelothread/{role}.toml
 
+Flags:
+  --settings=FILE  TOML settings; docs/man/pomelothread-{role}.md lists them
+  --version        print the version and exit
+
 The process prints its addresses as one JSON line when it listens, logs to
 stderr, and stops gracefully on SIGTERM.
 
