--- a/src/pomelothread/agent/dispatcher.py
+++ b/src/pomelothread/agent/dispatcher.py
@@ -3,8 +3,6 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable, Mapping
-from dataclasses import dataclass
-from typing import Protocol
 
 from opentelemetry.trace import SpanKind, Tracer
 
@@ -33,86 +31,20 @@
 )
 from ..peers.messages import Offer
 from ..policy.crashes import CrashBook
+from ..policy.prediction import DEFAULT_PREFILL_TOKENS_PER_S
 from ..tracing import extract_context, inject_context
-from .grants import Grants, Place, Reply
+from .grants import Grants, Reply
 from .orders import Orders
 from .rates import Rates
+from .running import DispatchOutcome, DispatchSink, NotDispatched, RunningRequest
 
 _logger = logging.getLogger(__name__)
 
 MAX_WHOLE_RESPONSE_BYTES = 64 * 1024 * 1024
 EVENT_STREAM = "text/event-stream"
 RETRY_AFTER_S = 2.0
-
-
-class DispatchSink(Protocol):
-    """Where the answer to an entry's POST goes."""
-
-    def start(self, status: int, headers: list[tuple[str, str]]) -> None:
-        """Send the head of the upstream's response."""
-        ...
-
-    async def write(self, chunk: bytes) -> None:
-        """Send part of the body."""
-        ...
-
-    def finish(self) -> None:
-        """End the response; everything was sent."""
-        ...
-
-    def abort(self) -> None:
-        """Close without a proper end."""
-        ...
-
-
-@dataclass(frozen=True, slots=True)
-class NotDispatched:
-    """Nothing was sent to the upstream, and this POST never will be.
-
-    Parameters
-    ----------
-    reason : str
-        One of the constants of `pomelothread.peers.dispatch`.
-    """
-
-    reason: str
-
-
-# None means that the sink has been given a response.
-DispatchOutcome = Run | NotRun | NotKnown | NotDispatched | None
-
-
-@dataclass(slots=True)
-class RunningRequest:
-    """A request at the upstream.
-
-    Parameters
-    ----------
-    place : Place
-        What it holds until it has ended.
-    dispatch : Dispatch
-        What the entry asked for.
-    fingerprint : str
-        Identifies its content.
-    ran_alone : bool
-        Whether no other request ran at any time while it did.
-    exchange : Exchange or None
-        With the upstream, once it is open.
-    entry_left : bool
-        Whether the entry closed its connection.
-    """
-
-    place: Place
-    dispatch: Dispatch
-    fingerprint: str
-    ran_alone: bool
-    exchange: Exchange | None = None
-    entry_left: bool = False
-
-    @property
-    def offer(self) -> Offer:
-        """The offer that the place was granted for."""
-        return self.place.offer
+# Prompts share the engine with the batch, which delays them about twofold.
+PREFILL_TOLERANCE = 2.0
 
 
 class Dispatcher:
@@ -177,6 +109,16 @@
         """Streams that have sent their first chunk and have not ended."""
         return self._n_streaming
 
+    @property
+    def n_prefilling(self) -> int:
+        """Requests whose prompt the engine is probably still computing.
+
+        A whole answer shows nothing before its end, so a request counts only
+        as long as its prefill should take.
+        """
+        now_s = self._clock.monotonic_s()
+        return sum(r.prefill_until_s > now_s for r in self._running.values())
+
     async def dispatch(
         self,
         dispatch: Dispatch,
@@ -312,6 +254,7 @@
         if dispatch.key:
             headers["Idempotency-Key"] = dispatch.key
         started_at_s = self._clock.monotonic_s()
+        running.prefill_until_s = started_at_s + self._prefill_s(running.offer)
         with self._tracer.start_as_current_span(
             "agent.upstream", kind=SpanKind.CLIENT
         ) as span:
@@ -357,7 +300,8 @@
             await self._stream(running, exchange, sink, started_at_s)
             return None
         body = await exchange.read_whole(MAX_WHOLE_RESPONSE_BYTES)
-        if isinstance(body, bytes):
+        # A body that ends with its connection may have lost its end in a crash.
+        if isinstance(body, bytes) and exchange.end == Complete(is_delimited=True):
             now_s = self._clock.monotonic_s()
             self._grants.limit.observe_success(len(self._running), now_s)
             return Run(head.status, tuple(headers), body)
@@ -380,13 +324,16 @@
                 now_s = self._clock.monotonic_s()
                 if last_at_s is None:
                     self._n_streaming += 1
+                    running.prefill_until_s = 0.0
                     self._rates.first_token(
                         running.offer.n_input_tokens, now_s - started_at_s
                     )
                 else:
                     n_tokens = max(1, chunk.count(b"data:"))
                     gap_s = (now_s - last_at_s) / n_tokens
-                    limit.observe_token_gap(gap_s, self._n_streaming, now_s)
+                    limit.observe_token_gap(
+                        gap_s, self._n_streaming, now_s, self.n_prefilling
+                    )
                 last_at_s = now_s
                 await sink.write(chunk)
         finally:
@@ -401,6 +348,10 @@
                 await self._cut(running)
                 sink.abort()
 
+    def _prefill_s(self, offer: Offer) -> float:
+        rate = self._rates.prefill_tokens_per_s or DEFAULT_PREFILL_TOKENS_PER_S
+        return PREFILL_TOLERANCE * offer.n_input_tokens / rate
+
     def _is_order(self, dispatch: Dispatch, service: Service) -> bool:
         # Either sheet may be the newer one; an order too many is harmless.
         return dispatch.never_repeated or service.repeat == REPEAT_NEVER
--- a/src/pomelothread/agent/process.py
+++ b/src/pomelothread/agent/process.py
@@ -28,7 +28,9 @@
 )
 from ..peers.node import (
     Tasks,
+    add_gauges,
     announce,
+    close_node,
     listen_http,
     new_incarnation,
     stop_event,
@@ -37,6 +39,7 @@
 from ..peers.surroundings import PlatformAddresses, Surroundings
 from ..policy.crashes import CRASH_TOPIC, CrashBook
 from ..policy.places import PlaceLimit
+from ..policy.prediction import can_finish
 from ..settings import AgentSettings
 from ..tracing import setup_tracing
 from ..upstreams.health import Down, Gone, HealthChange, Up, UpstreamHealth
@@ -45,7 +48,8 @@
 from .adapters import AdapterKeeper
 from .crash_reports import CrashReports
 from .dispatcher import Dispatcher, wait_until_idle
-from .grants import ENTRY_SILENCE_S, Grants, Reply
+from .entries import EntryTable
+from .grants import Grants
 from .http import agent_routes
 from .orders import Orders
 from .rates import Rates
@@ -80,10 +84,7 @@
         self.incarnation = new_incarnation()
         self._http_address = ""
         self._is_stopping = False
-        self._n_places_logged = settings.places.initial
         self._is_ready = False
-        self._leaving_said_by_entries: set[str] = set()
-        self._entries: dict[str, tuple[str, float]] = {}
         places = settings.places
         node = settings.node
         limit = PlaceLimit(
@@ -95,7 +96,8 @@
             places.reserved_share,
         )
         self._channel = ControlChannel(settings.control_address)
-        self._grants = Grants(self.incarnation, limit, clock)
+        self._entries = EntryTable(self._channel, clock)
+        self._grants = Grants(self.incarnation, limit, clock, self._can_finish)
         self._grants.state = CLOSED
         self._rates = Rates()
         self._metrics = Metrics(clock)
@@ -154,7 +156,7 @@
             clock=clock,
             tracer=setup_tracing(settings.tracing, "pomelothread-agent", node.instance),
             rates=self._rates,
-            send_replies=self._send_replies,
+            send_replies=self._entries.send_replies,
             on_cut=self._reports.connection_cut,
         )
         self._adapters = AdapterKeeper(
@@ -182,7 +184,7 @@
         """
         source = StatusSource(
             self.status,
-            lambda: self._is_ready,
+            self.is_ready,
             self._surroundings.replica.snapshot,
             self._metrics,
         )
@@ -205,15 +207,20 @@
         await self._stop.wait()
         if not tasks.failed:
             await self._drain()
-        server.stop()
-        await server.close_all_connections()
-        await tasks.cancel()
-        self._client.close()
-        self._channel.close()
+        await close_node(server, tasks, self._client, self._channel)
         uptime_s = round(self._clock.monotonic_s() - self._started_at_s, 1)
         log_event(_logger, Event.AGENT_STOPPED, uptime_s=uptime_s)
         return 1 if tasks.failed else 0
 
+    def is_ready(self) -> bool:
+        """Whether the agent has opened, and knows all claims that it can read.
+
+        It serves other work before that; a question about an order would be
+        answered "not known" until the topic of claims has been read.
+        """
+        tail = self._claimant.tail
+        return self._is_ready and (tail.is_caught_up or tail.failure is not None)
+
     def status(self) -> NodeStatus:
         """Return the state of the process for operators."""
         sheet = self._surroundings.sheet
@@ -263,48 +270,24 @@
                     replies = self._grants.revoke(message)
                 case RaiseFloor():
                     replies = self._grants.raise_floor(message)
-                    log_event(
-                        _logger,
-                        Event.FLOOR_RAISED,
-                        pool=message.pool,
-                        tier_rank=message.tier_rank,
-                        n_refused=len(replies) - 1,
-                    )
                 case EntryBeat():
                     self._hear_entry(message)
                     replies = []
                 case _:
                     self._channel.n_unknown += 1
                     replies = []
-            self._send_replies(replies)
+            self._entries.send_replies(replies)
 
     async def _beat(self) -> None:
         """Send heartbeats to all entries that have been heard."""
         while True:
-            self._forget_silent_entries()
+            self._entries.forget_silent()
             self._send_beats()
             self._channel.log_unknown()
-            self._log_places()
             await self._clock.sleep(BEAT_PERIOD_S)
 
-    def _log_places(self) -> None:
-        limit = self._grants.limit
-        n_places = limit.n_places
-        if n_places == self._n_places_logged:
-            return
-        log_event(
-            _logger,
-            Event.PLACE_LIMIT_CHANGED,
-            n_places_before=self._n_places_logged,
-            n_places=n_places,
-            token_gap_s=round(limit.recent_gap_s, 4),
-        )
-        self._n_places_logged = n_places
-
     def _send_beats(self) -> None:
-        beat = self._agent_beat()
-        for inbox, _ in self._entries.values():
-            self._channel.send(inbox, beat)
+        self._entries.send_beat(self._agent_beat())
 
     async def _watch_places(self) -> None:
         """Expire grants and notice a stalled upstream."""
@@ -312,46 +295,22 @@
         last_report_s = 0.0
         while True:
             now_s = self._clock.monotonic_s()
-            limit.is_straggling(now_s, self._dispatcher.n_streaming)
+            limit.is_straggling(
+                now_s, self._dispatcher.n_streaming, self._dispatcher.n_prefilling
+            )
             report = self._load.latest
             if report is not None and report.received_s > last_report_s:
                 last_report_s = report.received_s
                 limit.observe_engine_queue(report.n_waiting, now_s)
-            self._send_replies(self._grants.expire())
+            self._entries.send_replies(self._grants.expire())
             await self._clock.sleep(WATCH_PERIOD_S)
 
     def _hear_entry(self, beat: EntryBeat) -> None:
-        is_new = beat.incarnation not in self._entries
-        now_s = self._clock.monotonic_s()
-        self._entries[beat.incarnation] = (beat.inbox, now_s)
         self._grants.hear_entry(beat.incarnation)
-        if self._settings.node.instance in beat.leaving_instances:
-            self._leaving_said_by_entries.add(beat.incarnation)
-        else:
-            self._leaving_said_by_entries.discard(beat.incarnation)
-        if is_new:
-            log_event(
-                _logger, Event.PEER_UP, instance=beat.instance, address=beat.inbox
-            )
-            self._channel.send(beat.inbox, self._agent_beat())
+        if self._entries.hear(beat):
+            self._send_beats()
         self._update_state()
 
-    def _forget_silent_entries(self) -> None:
-        now_s = self._clock.monotonic_s()
-        for incarnation, (inbox, heard_at_s) in list(self._entries.items()):
-            if now_s - heard_at_s <= ENTRY_SILENCE_S:
-                continue
-            del self._entries[incarnation]
-            self._leaving_said_by_entries.discard(incarnation)
-            self._channel.forget(inbox)
-            log_event(
-                _logger,
-                Event.PEER_DOWN,
-                instance=incarnation,
-                address=inbox,
-                cause="no heartbeat",
-            )
-
     def _agent_beat(self) -> AgentBeat:
         grants = self._grants
         node = self._settings.node
@@ -368,7 +327,7 @@
             n_places=grants.limit.n_places,
             n_free_places=grants.n_free_places(),
             waiting_by_rank=grants.queue.counts_by_rank(),
-            token_gap_s=grants.limit.recent_gap_s,
+            token_gap_s=grants.limit.mean_gap_s,
             prefill_tokens_per_s=self._rates.prefill_tokens_per_s,
             service_time_s=self._rates.service_time_s,
             floors=grants.floors.active(now_s),
@@ -377,12 +336,6 @@
             sheet_version=self._surroundings.sheet.version,
         )
 
-    def _send_replies(self, replies: list[Reply]) -> None:
-        for reply in replies:
-            entry = self._entries.get(reply.entry)
-            if entry is not None:
-                self._channel.send(entry[0], reply.message)
-
     def _use_health(self, change: HealthChange) -> None:
         url = self._settings.upstream.url
         match change:
@@ -420,12 +373,12 @@
                 log_event(_logger, Event.AGENT_READY, sheet_version=version)
         else:
             replies = self._grants.close(state)
-        self._send_replies(replies)
+        self._entries.send_replies(replies)
         self._send_beats()
 
     def _wanted_state(self) -> str:
         instance = self._settings.node.instance
-        is_leaving = bool(self._leaving_said_by_entries) or any(
+        is_leaving = self._entries.say_leaving(instance) or any(
             leaving.name == instance
             for leaving in self._surroundings.membership.leaving()
         )
@@ -440,6 +393,16 @@
             known.name == instance for known in self._surroundings.membership.all()
         )
 
+    def _can_finish(self, offer: Offer, left_s: float) -> bool:
+        return can_finish(
+            offer.n_input_tokens,
+            offer.n_output_tokens,
+            left_s,
+            self._grants.limit.mean_gap_s,
+            self._rates.prefill_tokens_per_s,
+            self._rates.service_time_s,
+        )
+
     def _instances_of_pool(self) -> list[str]:
         live = self._surroundings.membership.live(ROLE, self._settings.pool)
         return [instance.name for instance in live]
@@ -461,7 +424,6 @@
         await asyncio.sleep(DRAIN_POLL_S)
 
     def _add_gauges(self) -> None:
-        metrics = self._metrics
         grants = self._grants
         gauges = {
             "places": lambda: float(grants.limit.n_places),
@@ -473,6 +435,4 @@
             "control_received_bytes": lambda: float(self._channel.n_received_bytes),
             "sheet_version": lambda: float(self._surroundings.sheet.version),
         }
-        for name, read in gauges.items():
-            text = f"{name.replace('_', ' ')}.".capitalize()
-            metrics.gauge(name, text).labels().set_function(read)
+        add_gauges(self._metrics, gauges)
--- a/src/pomelothread/entry/offers.py
+++ b/src/pomelothread/entry/offers.py
@@ -108,13 +108,20 @@
             task.add_done_callback(self._delayed.discard)
 
     def drop_silent(self) -> None:
-        """Drop the offers at silent agents; these requests are due at once."""
+        """Drop the offers at silent agents; call it with each heartbeat.
+
+        Requests that lost one, or that no agent holds, are due at once.
+        """
         for request in self._waiting:
-            if self._drop_silent(request):
+            if self._drop_silent(request) or not request.offered:
                 request.repeat_at_s = 0.0
 
     def repeat_due(self) -> None:
-        """Repeat the offers that are due; call it every `REPEAT_POLL_S`."""
+        """Repeat the offers that are due; call it every `REPEAT_POLL_S`.
+
+        An agent that refused one may have opened again since, so refusals are
+        forgotten here; they only keep an offer from bouncing between repeats.
+        """
         now_s = self._clock.monotonic_s()
         views: dict[str, list[AgentView]] = {}
         for request in self._waiting:
@@ -122,6 +129,7 @@
                 continue
             if request.pool not in views:
                 views[request.pool] = self._agents.views(request.pool)
+            request.excluded.clear()
             self._offer_to(request, views[request.pool])
 
     def _set_repeat(self, request: WaitingRequest, now_s: float) -> None:
--- a/tools/fault_cases.py
+++ b/tools/fault_cases.py
@@ -5,10 +5,12 @@
 import signal
 import uuid
 from collections.abc import Awaitable, Callable
+from contextlib import AsyncExitStack
 from dataclasses import dataclass, field, replace
 from typing import Any
 
 from msgspec import structs
+from tornado.httpclient import HTTPClientError
 
 from fault_load import NOT_RUN, RUN, Call, Callers
 from fault_world import RETENTION_S, World
@@ -118,6 +120,19 @@
             trial.world.launcher.signal(victim, signal.SIGCONT)
 
 
+async def _pause_pool(trial: Trial, victim: str) -> None:
+    """Pause all engines until their agents have closed."""
+    engines = [n for n in trial.world.upstream_names() if ":model-" in n]
+    async with AsyncExitStack() as stack:
+        for name in engines:
+            await stack.enter_async_context(trial.world.locks[name])
+        for name in engines:
+            trial.world.launcher.signal(name, signal.SIGSTOP)
+        await asyncio.sleep(max(PAUSES_S))
+        for name in engines:
+            trial.world.launcher.signal(name, signal.SIGCONT)
+
+
 async def _terminate(trial: Trial, victim: str) -> None:
     async with trial.world.locks[victim]:
         status = await trial.world.terminate(victim)
@@ -138,13 +153,8 @@
                 trial.violations.append(("stop", f"{name} exited with {status}"))
             node.state = LIVE
             await world.revive(name)
-            await _wait_state(trial, name)
-
-
-async def _wait_state(trial: Trial, name: str) -> None:
-    async with asyncio.timeout(START_TIMEOUT_S):
-        while (await trial.world.status(name)).get("state") not in {"open", "ready"}:
-            await asyncio.sleep(POLL_S)
+            async with asyncio.timeout(START_TIMEOUT_S):
+                await world.wait_open(name)
 
 
 def _upstream_fault(holds: bool = False, **values: Any) -> Inject:
@@ -217,7 +227,7 @@
 async def _is_shown_leaving(trial: Trial, victim: str) -> bool:
     try:
         shown = await trial.world.shown_instances()
-    except OSError:
+    except (OSError, HTTPClientError):
         return False
     labels = [group["labels"] for group in shown]
     return any(
@@ -322,6 +332,7 @@
     "stop agent": Fault(_terminate, "agent", is_harmless=True, naive=False),
     "kill upstream": Fault(_kill, "upstream"),
     "pause upstream": Fault(_pause, "upstream"),
+    "pause pool": Fault(_pause_pool),
     "stop upstream": Fault(_terminate, "upstream"),
     "close before": Fault(
         _upstream_fault(close_before_answer=True, times=3), "upstream"
