--- a/src/pomelothread/agent/process.py
+++ b/src/pomelothread/agent/process.py
@@ -49,7 +49,7 @@
 from .crash_reports import CrashReports
 from .dispatcher import Dispatcher, wait_until_idle
 from .entries import EntryTable
-from .grants import Grants
+from .grants import Grants, Reply
 from .http import agent_routes
 from .orders import Orders
 from .rates import Rates
@@ -84,6 +84,7 @@
         self.incarnation = new_incarnation()
         self._http_address = ""
         self._is_stopping = False
+        self._n_places_logged = settings.places.initial
         self._is_ready = False
         places = settings.places
         node = settings.node
@@ -269,7 +270,7 @@
                 case Revoke():
                     replies = self._grants.revoke(message)
                 case RaiseFloor():
-                    replies = self._grants.raise_floor(message)
+                    replies = self._raise_floor(message)
                 case EntryBeat():
                     self._hear_entry(message)
                     replies = []
@@ -278,6 +279,20 @@
                     replies = []
             self._entries.send_replies(replies)
 
+    def _raise_floor(self, message: RaiseFloor) -> list[Reply]:
+        replies = self._grants.raise_floor(message)
+        n_refused = len(replies) - 1
+        # An entry asks again until it is answered, with nothing left to refuse.
+        if n_refused:
+            log_event(
+                _logger,
+                Event.FLOOR_RAISED,
+                pool=message.pool,
+                tier_rank=message.tier_rank,
+                n_refused=n_refused,
+            )
+        return replies
+
     async def _beat(self) -> None:
         """Send heartbeats to all entries that have been heard."""
         while True:
@@ -303,8 +318,24 @@
                 last_report_s = report.received_s
                 limit.observe_engine_queue(report.n_waiting, now_s)
             self._entries.send_replies(self._grants.expire())
+            self._log_places()
             await self._clock.sleep(WATCH_PERIOD_S)
 
+    def _log_places(self) -> None:
+        """Log large changes; steps of one place happen all the time."""
+        limit = self._grants.limit
+        before = self._n_places_logged
+        if before / 2 < limit.n_places < before * 2:
+            return
+        log_event(
+            _logger,
+            Event.PLACE_LIMIT_CHANGED,
+            n_places_before=before,
+            n_places=limit.n_places,
+            token_gap_s=round(limit.recent_gap_s, 4),
+        )
+        self._n_places_logged = limit.n_places
+
     def _hear_entry(self, beat: EntryBeat) -> None:
         self._grants.hear_entry(beat.incarnation)
         if self._entries.hear(beat):
