Tell all entries of a floor at once, not with the next heartbeat

Cause: a floor reached waiting work through its offers at agents. A low-tier request whose offers had all been lost was unknown to every agent, so it was kept while a check was shed; its entry learned of the floor up to 0.5 s later. Change: an agent that raises a floor sends its heartbeat, which carries floors, to all entries before it confirms.

Ruled out: an acknowledgement by every entry before the floor is confirmed. It closes the last window (all agents' heartbeats to one entry lost as well), but a silent entry would then hold up the shed for 2.5 s, and between our processes messages are lost only when an outbox overflows or a connection breaks.

--- a/src/pomelothread/agent/process.py
+++ b/src/pomelothread/agent/process.py
@@ -281,6 +281,10 @@
 
     def _raise_floor(self, message: RaiseFloor) -> list[Reply]:
         replies = self._grants.raise_floor(message)
+        # Entries shed what they hold as well: an agent does not know a request
+        # whose offers were lost. The heartbeat goes first, so an entry that has
+        # the confirmation of all agents has their floors too.
+        self._send_beats()
         n_refused = len(replies) - 1
         # An entry asks again until it is answered, with nothing left to refuse.
         if n_refused:
--- a/tests/fake_fleet.py
+++ b/tests/fake_fleet.py
@@ -136,6 +136,7 @@
                 replies = self.grants.revoke(message)
             case RaiseFloor():
                 replies = self.grants.raise_floor(message)
+                self.beat()
             case EntryBeat():
                 self.entries[message.incarnation] = message.inbox
                 self.grants.hear_entry(message.incarnation)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -54,7 +54,8 @@
 
 
 @pytest.mark.parametrize("case", NETWORKS)
-@pytest.mark.parametrize("seed", [1, 2, 3])
+# With seeds 14 and 20 all offers of a low request are lost, so no agent knew it.
+@pytest.mark.parametrize("seed", [1, 2, 14, 20])
 def test_a_check_is_not_shed_while_another_entry_keeps_lower_work(case, seed):
     async def scenario():
         fleet = make_fleet(case, seed, n_places=2)
