Keep a fault switch of the stand-in engine fixed during a stream

Cause: a stream that started without a limit on faulty requests looked at the shared switch for each token. While close_after_effect was on for others, it lacked tokens, then went on and ended properly. Ruled out: a gap made by the agent or the entry; the missing tokens are exactly those of the time in which the stand-in skips them. The new test fails before and passes after.

--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -8,6 +8,7 @@
 from datetime import UTC, datetime
 from pathlib import Path
 
+import httpx2
 import pytest
 
 from pomelothread.clock import ManualClock
@@ -165,3 +166,31 @@
         process.kill()
         process.wait()
         process.stdout.close()
+
+
+def test_a_switch_that_is_turned_during_a_stream_leaves_no_gap_in_it():
+    # A stream lacked 29 tokens in its middle and still ended properly, which a
+    # fault trial took for the answer of another caller.
+    async def scenario():
+        engine = start_engine(ModelSettings(speed=4.0), models=("drafts",))
+        body = {
+            "model": "drafts",
+            "messages": [{"role": "user", "content": "leg"}],
+            "max_tokens": 20,
+            "stream": True,
+        }
+        url = f"http://{engine.address}/v1/chat/completions"
+        text = ""
+        async with (
+            httpx2.AsyncClient() as client,
+            client.stream("POST", url, json=body) as response,
+        ):
+            async for chunk in response.aiter_text():
+                text += chunk
+                engine.faults.close_after_effect = 3 < text.count("data:") < 10
+        await engine.stop()
+        return text
+
+    text = asyncio.run(scenario())
+    assert text.endswith("data: [DONE]\n\n")
+    assert all(f"-{position}" in text for position in range(20))
--- a/tools/standins/engine.py
+++ b/tools/standins/engine.py
@@ -155,6 +155,9 @@
 
     async def _run(self, body: dict[str, Any]) -> bool:
         self.body = body
+        # Read once: a stream during which the switch is turned on and off again
+        # would lack tokens in its middle and still end properly.
+        self.closes_after_effect = self.faults.close_after_effect
         words = prompt_words(body["messages"])
         limit = body.get("max_completion_tokens") or body.get("max_tokens")
         n_output = int(limit or DEFAULT_MAX_TOKENS)
@@ -169,7 +172,7 @@
         if not await self.unless_closed(asyncio.shield(self.sequence.ended)):
             self.engine.model.cancel(self.sequence)
             return False
-        if self.faults.close_after_effect:
+        if self.closes_after_effect:
             self.drop_connection()
         if self._finished:
             return False
@@ -189,7 +192,7 @@
         faults = self.faults
         if faults.stall_after_tokens == position + 1:
             self.sequence.is_stalled = True
-        if not self.is_stream or self._finished or faults.close_after_effect:
+        if not self.is_stream or self._finished or self.closes_after_effect:
             return
         text = self.words[position] if position == 0 else f" {self.words[position]}"
         delta = {"content": text}
