Give up a late request at an upstream that hangs

Cause: the fault trials found that a caller whose upstream hangs for ever while its agent lives never gets an answer (no answer after 15 s for a deadline of 3 s). Change: once the upstream's health check has failed for 30 s, requests past their deadline are cancelled and their callers told 'not known' (upstream-silent). Ruled out: cancelling at the deadline, since a late answer must still be delivered and pauses of seconds are ordinary.

--- a/src/pomelothread/agent/dispatcher.py
+++ b/src/pomelothread/agent/dispatcher.py
@@ -189,6 +189,17 @@
         if running.exchange is not None:
             running.exchange.cancel()
 
+    def give_up_late(self) -> None:
+        """Stop waiting for requests whose deadline has passed.
+
+        For an upstream that has not answered its health check for long: it may
+        hang for ever, and its callers would never get an answer.
+        """
+        now_s = self._clock.monotonic_s()
+        for running in self._running.values():
+            if running.exchange is not None and now_s > running.deadline_at_s:
+                running.exchange.cancel()
+
     async def _dispatch(
         self, running: RunningRequest, body: bytes, sink: DispatchSink
     ) -> DispatchOutcome:
@@ -255,6 +266,7 @@
             headers["Idempotency-Key"] = dispatch.key
         started_at_s = self._clock.monotonic_s()
         running.prefill_until_s = started_at_s + self._prefill_s(running.offer)
+        running.deadline_at_s = started_at_s + running.offer.deadline_ms / 1000
         with self._tracer.start_as_current_span(
             "agent.upstream", kind=SpanKind.CLIENT
         ) as span:
@@ -292,7 +304,8 @@
                 await self._cut(running)
                 return NotKnown(Reason.ANSWER_LOST, "The upstream's answer was lost.")
             case _:
-                return NotKnown(Reason.ANSWER_LOST, "The request was cancelled.")
+                detail = "The upstream did not answer; the request was cancelled."
+                return NotKnown(Reason.UPSTREAM_SILENT, detail)
         headers = end_to_end_headers(head.headers.get_all())
         content_type = head.headers.get("Content-Type", "")
         if token is None and content_type.startswith(EVENT_STREAM):
--- a/src/pomelothread/agent/process.py
+++ b/src/pomelothread/agent/process.py
@@ -61,6 +61,9 @@
 # A stalled engine is noticed within two looks after 80 ms of silence.
 WATCH_PERIOD_S = 0.05
 DRAIN_POLL_S = 0.05
+# A paused upstream that resumes still delivers, so late requests are given up
+# only when its health check has failed for much longer than pauses last.
+UPSTREAM_SILENCE_S = 30.0
 # Dispatches of orders and lookups come on top of the places.
 EXTRA_EXCHANGES = 64
 
@@ -84,6 +87,7 @@
         self.incarnation = new_incarnation()
         self._http_address = ""
         self._is_stopping = False
+        self._down_at_s = self._started_at_s
         self._n_places_logged = settings.places.initial
         self._is_ready = False
         places = settings.places
@@ -323,6 +327,8 @@
                 limit.observe_engine_queue(report.n_waiting, now_s)
             self._entries.send_replies(self._grants.expire())
             self._log_places()
+            if not self._health.is_up and now_s - self._down_at_s > UPSTREAM_SILENCE_S:
+                self._dispatcher.give_up_late()
             await self._clock.sleep(WATCH_PERIOD_S)
 
     def _log_places(self) -> None:
@@ -377,6 +383,7 @@
             case Up():
                 log_event(_logger, Event.UPSTREAM_UP, url=url)
             case Down(detail=detail) | Gone(detail=detail):
+                self._down_at_s = self._clock.monotonic_s()
                 log_event(_logger, Event.UPSTREAM_DOWN, url=url, detail=detail)
         self._update_state()
 
--- a/src/pomelothread/agent/running.py
+++ b/src/pomelothread/agent/running.py
@@ -65,6 +65,8 @@
         With the upstream, once it is open.
     entry_left : bool
         Whether the entry closed its connection.
+    deadline_at_s : float
+        Monotonic time of the caller's deadline.
     prefill_until_s : float
         Monotonic time by which its first token is expected, and 0 from then on
         when it has come.
@@ -76,6 +78,7 @@
     ran_alone: bool
     exchange: Exchange | None = None
     entry_left: bool = False
+    deadline_at_s: float = 0.0
     prefill_until_s: float = 0.0
 
     @property
