Define shared periods, limits and the order's path once

The period of heartbeats, the silence after which a peer is not used, the life of a floor, the size limits of answers and the path of an order's status stood in two modules each, so that one could have been changed without the other. No change of behaviour.

--- a/src/pomelothread/agent/dispatcher.py
+++ b/src/pomelothread/agent/dispatcher.py
@@ -12,7 +12,9 @@
 from ..operators.sheet import REPEAT_NEVER, Service, Sheet
 from ..outcomes import NotKnown, NotRun, Reason, Run
 from ..peers.dispatch import (
+    EVENT_STREAM,
     GRANT_INVALID,
+    MAX_WHOLE_RESPONSE_BYTES,
     MUST_RUN_ALONE,
     SHEET_BEHIND,
     UPSTREAM_DOWN,
@@ -40,8 +42,6 @@
 
 _logger = logging.getLogger(__name__)
 
-MAX_WHOLE_RESPONSE_BYTES = 64 * 1024 * 1024
-EVENT_STREAM = "text/event-stream"
 RETRY_AFTER_S = 2.0
 # Prompts share the engine with the batch, which delays them about twofold.
 PREFILL_TOLERANCE = 2.0
--- a/src/pomelothread/agent/entries.py
+++ b/src/pomelothread/agent/entries.py
@@ -6,8 +6,8 @@
 from ..clock import Clock
 from ..events import Event, log_event
 from ..peers.control import ControlChannel
-from ..peers.messages import AgentBeat, EntryBeat
-from .grants import ENTRY_SILENCE_S, Reply
+from ..peers.messages import SILENCE_S, AgentBeat, EntryBeat
+from .grants import Reply
 
 _logger = logging.getLogger(__name__)
 
@@ -60,7 +60,7 @@
         """Drop the entries whose heartbeat is overdue."""
         now_s = self._clock.monotonic_s()
         for incarnation, entry in list(self._entries.items()):
-            if now_s - entry.heard_at_s <= ENTRY_SILENCE_S:
+            if now_s - entry.heard_at_s <= SILENCE_S:
                 continue
             del self._entries[incarnation]
             self._channel.forget(entry.inbox)
--- a/src/pomelothread/agent/grants.py
+++ b/src/pomelothread/agent/grants.py
@@ -6,6 +6,7 @@
 from ..clock import Clock
 from ..peers.messages import (
     OPEN,
+    SILENCE_S,
     Decline,
     FloorRaised,
     Grant,
@@ -17,14 +18,10 @@
     Withdraw,
 )
 from ..policy.fairness import FairQueue
+from ..policy.floors import FLOOR_LIFE_S, FloorBook
 from ..policy.places import PlaceLimit
-from ..policy.shedding import FloorBook
 
 GRANT_LIFE_S = 2.0
-FLOOR_LIFE_S = 1.0
-# An entry without a heartbeat for this long is taken for gone, and so are its
-# offers: five intervals of 0.5 s.
-ENTRY_SILENCE_S = 2.5
 # How long used grants are remembered so that a late `Revoke` is told the truth;
 # after this, the answer is "may have been used".
 USED_GRANT_MEMORY_S = 600.0
@@ -291,7 +288,7 @@
         silent = {
             entry
             for entry, heard_at_s in self._entries_heard_at_s.items()
-            if now_s - heard_at_s > ENTRY_SILENCE_S
+            if now_s - heard_at_s > SILENCE_S
         }
         for entry in silent:
             del self._entries_heard_at_s[entry]
--- a/src/pomelothread/agent/orders.py
+++ b/src/pomelothread/agent/orders.py
@@ -26,7 +26,7 @@
 from ..log.claims import Claimant
 from ..operators.sheet import Service
 from ..outcomes import NotKnown, NotRun, Reason, Run
-from ..peers.dispatch import Dispatch
+from ..peers.dispatch import MAX_STORED_BYTES, Dispatch, order_url
 from ..peers.headers import end_to_end_headers
 from ..peers.http_exchange import ExchangeClient, ResponseHead
 from ..peers.waiting import wait_at_most
@@ -38,7 +38,6 @@
 # on a log that has failed since the claim.
 RECORD_WAIT_S = 1.0
 LOOKUP_TIMEOUT_S = 5.0
-MAX_STORED_BYTES = 1024 * 1024
 # Delays between lookups of an order whose answer was lost. The upstream may
 # still be working on it, so "not found" is not final.
 LOOKUP_DELAYS_S = (0.5, 1.0, 2.0, 5.0, 10.0, 30.0, 60.0)
@@ -91,10 +90,7 @@
 
     def status_url(self, dispatch: Dispatch) -> str:
         """Return where the caller can ask what became of the order."""
-        return (
-            f"/v1/orders/{quote(dispatch.service, safe='')}"
-            f"/{quote(dispatch.key, safe='')}"
-        )
+        return order_url(dispatch.service, dispatch.key)
 
     async def claim(
         self, dispatch: Dispatch, service: Service, body: bytes
--- a/src/pomelothread/agent/process.py
+++ b/src/pomelothread/agent/process.py
@@ -15,6 +15,7 @@
 from ..peers.control import ControlChannel
 from ..peers.http_exchange import ExchangeClient
 from ..peers.messages import (
+    BEAT_PERIOD_S,
     CLOSED,
     DRAINING,
     OPEN,
@@ -57,7 +58,6 @@
 _logger = logging.getLogger(__name__)
 
 ROLE = "agent"
-BEAT_PERIOD_S = 0.5
 # A stalled engine is noticed within two looks after 80 ms of silence.
 WATCH_PERIOD_S = 0.05
 DRAIN_POLL_S = 0.05
--- a/src/pomelothread/entry/agents.py
+++ b/src/pomelothread/entry/agents.py
@@ -10,14 +10,13 @@
     CLOSED,
     MIN_PROTOCOL_VERSION,
     PROTOCOL_VERSION,
+    SILENCE_S,
     AgentBeat,
 )
 from ..policy.routing import AgentView
 
 _logger = logging.getLogger(__name__)
 
-# Five heartbeats of 0.5 s.
-AGENT_SILENCE_S = 2.5
 # A silent agent is forgotten after this; until then its late grants and
 # answers can still be matched.
 AGENT_MEMORY_S = 60.0
@@ -87,7 +86,7 @@
             self._agents[beat.incarnation] = KnownAgent(beat, now_s)
             self._close_predecessors(beat)
             return True
-        was_silent = now_s - known.heard_at_s > AGENT_SILENCE_S
+        was_silent = now_s - known.heard_at_s > SILENCE_S
         known.beat = beat
         known.heard_at_s = now_s
         return was_silent
@@ -101,7 +100,7 @@
         known = self._agents.get(incarnation)
         if known is None:
             return True
-        return self._clock.monotonic_s() - known.heard_at_s > AGENT_SILENCE_S
+        return self._clock.monotonic_s() - known.heard_at_s > SILENCE_S
 
     def alive(self, pool: str) -> list[str]:
         """Return the incarnations of a pool that are not silent, in any state."""
--- a/src/pomelothread/entry/attempt.py
+++ b/src/pomelothread/entry/attempt.py
@@ -11,6 +11,8 @@
 from ..peers.control import ControlChannel
 from ..peers.dispatch import (
     DISPATCH_PATH,
+    EVENT_STREAM,
+    MAX_WHOLE_RESPONSE_BYTES,
     NOT_DISPATCHED,
     OUTCOME_HEADER,
     REASON_HEADER,
@@ -42,8 +44,6 @@
 from .agents import AgentTable, KnownAgent
 
 REVOKE_WAIT_S = 0.5
-MAX_WHOLE_RESPONSE_BYTES = 64 * 1024 * 1024
-EVENT_STREAM = "text/event-stream"
 
 # How long an agent may be silent before the entry stops waiting for it. Before
 # the head, the caller's deadline must have passed as well, since a paused agent
--- a/src/pomelothread/entry/orders.py
+++ b/src/pomelothread/entry/orders.py
@@ -5,27 +5,23 @@
 
 from ..operators.sheet import Service
 from ..outcomes import NotKnown, NotRun, Reason, Run
-from ..peers.dispatch import NOT_KNOWN, NOT_RUN, OUTCOME_HEADER, REASON_HEADER, RUN
+from ..peers.dispatch import (
+    MAX_STORED_BYTES,
+    NOT_KNOWN,
+    NOT_RUN,
+    OUTCOME_HEADER,
+    REASON_HEADER,
+    RUN,
+    order_url,
+)
 from ..peers.headers import end_to_end_headers
 from ..peers.http_exchange import ExchangeClient, ResponseHead
 from ..policy.routing import AgentView
 
 ASK_TIMEOUT_S = 5.0
-MAX_STORED_BYTES = 1024 * 1024
 RETRY_AFTER_S = 2.0
 
 
-def order_url(service: str, key: str) -> str:
-    """Return where the outcome of an order can be asked for.
-
-    Examples
-    --------
-    >>> order_url("print-order", "a b")
-    '/v1/orders/print-order/a%20b'
-    """
-    return f"/v1/orders/{quote(service, safe='')}/{quote(key, safe='')}"
-
-
 async def ask_order_outcome(
     client: ExchangeClient,
     agents: Sequence[AgentView],
--- a/src/pomelothread/entry/process.py
+++ b/src/pomelothread/entry/process.py
@@ -12,6 +12,7 @@
 from ..peers.control import ControlChannel
 from ..peers.http_exchange import ExchangeClient
 from ..peers.messages import (
+    BEAT_PERIOD_S,
     AgentBeat,
     EntryBeat,
     FloorRaised,
@@ -45,7 +46,6 @@
 _logger = logging.getLogger(__name__)
 
 ROLE = "entry"
-BEAT_PERIOD_S = 0.5
 DRAIN_POLL_S = 0.05
 # A new entry rejects requests for pools that it has not heard yet, so the load
 # balancer should not send any before the first heartbeats; they take one poll
--- a/src/pomelothread/entry/scheduler.py
+++ b/src/pomelothread/entry/scheduler.py
@@ -12,7 +12,7 @@
 from ..events import Event, log_event
 from ..operators.sheet import Organisation, Sheet
 from ..outcomes import NotKnown, NotRun, Reason, Run
-from ..peers.dispatch import MUST_RUN_ALONE, body_fingerprint
+from ..peers.dispatch import MUST_RUN_ALONE, body_fingerprint, order_url
 from ..policy.crashes import CrashBook
 from ..policy.retries import (
     BindAgain,
@@ -34,7 +34,7 @@
 from .floors import FloorRequests
 from .metrics import EntryMetrics
 from .offers import SHED_RETRY_AFTER_S, Offers
-from .orders import ask_order_outcome, order_url
+from .orders import ask_order_outcome
 from .waiting import WaitingRequest, WaitingRequests
 
 _logger = logging.getLogger(__name__)
--- a/src/pomelothread/peers/dispatch.py
+++ b/src/pomelothread/peers/dispatch.py
@@ -9,6 +9,12 @@
 OUTCOME_HEADER = "X-Pomelothread-Outcome"
 REASON_HEADER = "X-Pomelothread-Reason"
 
+EVENT_STREAM = "text/event-stream"
+# Whole answers are held in memory until they are complete; streams are not.
+MAX_WHOLE_RESPONSE_BYTES = 64 * 1024 * 1024
+# Answers to questions about orders; stored bodies are at most 16 KiB.
+MAX_STORED_BYTES = 1024 * 1024
+
 # Values of OUTCOME_HEADER. `RUN` carries the upstream's response, the next two
 # carry problem details for the caller. `NOT_DISPATCHED` is for the entry: this
 # POST was not dispatched and never will be.
@@ -95,6 +101,29 @@
         )
 
 
+def order_url(service: str, key: str) -> str:
+    """Return the path at which the outcome of an order can be asked for.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    key : str
+        The idempotency key.
+
+    Returns
+    -------
+    str
+        The same path at entries and agents.
+
+    Examples
+    --------
+    >>> order_url("print-order", "a b")
+    '/v1/orders/print-order/a%20b'
+    """
+    return f"/v1/orders/{quote(service, safe='')}/{quote(key, safe='')}"
+
+
 def body_fingerprint(service: str, path: str, body: bytes) -> str:
     """Identify a request by its content, for finding those that crash upstreams.
 
--- a/src/pomelothread/peers/messages.py
+++ b/src/pomelothread/peers/messages.py
@@ -9,6 +9,11 @@
 PROTOCOL_VERSION = 1
 MIN_PROTOCOL_VERSION = 1
 
+# Both sides send heartbeats with this period; a peer that has sent none for
+# five of them is not used.
+BEAT_PERIOD_S = 0.5
+SILENCE_S = 2.5
+
 OPEN = "open"
 DRAINING = "draining"
 CLOSED = "closed"
