Count every floor that is requested

The counter was raised once for each pool and tier over the life of the process, since the bookkeeping object is kept, so an operator could not see it grow.

--- a/src/pomelothread/entry/floors.py
+++ b/src/pomelothread/entry/floors.py
@@ -68,6 +68,7 @@
             Rank of the protected request that would be shed.
         """
         if not self.may_shed(pool, tier_rank):
+            self.n_raised += 1
             log_event(_logger, Event.FLOOR_REQUESTED, pool=pool, tier_rank=tier_rank)
         while not self.may_shed(pool, tier_rank):
             self._ask(pool, tier_rank)
@@ -89,7 +90,6 @@
         alive = self._agents.alive(pool)
         shed = self._sheds.get(key)
         if shed is None:
-            self.n_raised += 1
             shed = ProtectedShed(pool, tier_rank, alive, self._numbers)
             self._sheds[key] = shed
             return shed
