--- a/tools/measure_path.py
+++ b/tools/measure_path.py
@@ -14,6 +14,7 @@
 
 import psutil
 from absl import app
+from tornado.httpclient import AsyncHTTPClient
 
 from deployments import DEPLOYMENTS, Deployment, UpstreamPlan
 from launch_settings import LaunchOptions
@@ -117,6 +118,31 @@
         )
 
 
+async def sheet_spread(launcher: Launcher) -> None:
+    """Print how long after a publication all processes have it in force."""
+    rows = launcher.deployment.sheet.read_text(encoding="utf-8")
+    path = launcher.directory / "changed.csv"
+    path.write_text(rows.replace(",400,", ",401,"), encoding="utf-8")
+    publishing = asyncio.create_task(launcher.publish_sheet(path, base=1))
+    first_s = 0.0
+    while True:
+        versions = await asyncio.gather(
+            *(_sheet_version(node.http_address) for node in launcher.nodes.values())
+        )
+        if 2 in versions and not first_s:
+            first_s = time.perf_counter()
+        if set(versions) == {2}:
+            break
+    spread_s = time.perf_counter() - first_s
+    await publishing
+    print(f"sheet_in_force_s: {spread_s:.3f} from the first of {len(versions)} to all")
+
+
+async def _sheet_version(address: str) -> int:
+    response = await AsyncHTTPClient().fetch(f"http://{address}/control/status")
+    return int(json.loads(response.body)["sheet_version"])
+
+
 async def run() -> None:
     """Run all measurements."""
     options = LaunchOptions(log_level="warning")
@@ -140,6 +166,7 @@
         for name, node in launcher.nodes.items():
             used = sum(psutil.Process(node.program.pid).cpu_times()[:2]) - cpu[name]
             print(f"{name}: {100 * used / elapsed_s:.2f}% of a core when idle")
+        await sheet_spread(launcher)
         client.close()
 
 
