--- a/src/pomelothread/agent/dispatcher.py
+++ b/src/pomelothread/agent/dispatcher.py
@@ -35,8 +35,9 @@
 from ..policy.crashes import CrashBook
 from ..policy.prediction import DEFAULT_PREFILL_TOKENS_PER_S
 from ..tracing import extract_context, inject_context
-from .grants import Grants, Reply
+from .grants import Grants
 from .orders import Orders
+from .places import Reply
 from .rates import Rates
 from .running import DispatchOutcome, DispatchSink, NotDispatched, RunningRequest
 
--- a/src/pomelothread/agent/entries.py
+++ b/src/pomelothread/agent/entries.py
@@ -7,7 +7,7 @@
 from ..events import Event, log_event
 from ..peers.control import ControlChannel
 from ..peers.messages import SILENCE_S, AgentBeat, EntryBeat
-from .grants import Reply
+from .places import Reply
 
 _logger = logging.getLogger(__name__)
 
--- a/src/pomelothread/agent/grants.py
+++ b/src/pomelothread/agent/grants.py
@@ -20,6 +20,7 @@
 from ..policy.fairness import FairQueue
 from ..policy.floors import FLOOR_LIFE_S, FloorBook
 from ..policy.places import PlaceLimit
+from .places import Place, Reply
 
 GRANT_LIFE_S = 2.0
 # How long used grants are remembered so that a late `Revoke` is told the truth;
@@ -33,35 +34,6 @@
     expires_at_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class Place:
-    """A place that a dispatched request holds until `Grants.release`.
-
-    Parameters
-    ----------
-    grant : int
-        The number of the grant that was used.
-    offer : Offer
-        The request that it was made for.
-    """
-
-    grant: int
-    offer: Offer
-
-    @property
-    def n_context_tokens(self) -> int:
-        """Tokens of context that the request may come to hold."""
-        return self.offer.n_input_tokens + self.offer.n_output_tokens
-
-
-@dataclass(frozen=True, slots=True)
-class Reply:
-    """A message for one entry, named by its incarnation."""
-
-    entry: str
-    message: Grant | Refuse | Revoked | FloorRaised
-
-
 class Grants:
     """Decides which waiting request gets the next place of one upstream.
 
--- a/src/pomelothread/agent/process.py
+++ b/src/pomelothread/agent/process.py
@@ -50,20 +50,17 @@
 from .crash_reports import CrashReports
 from .dispatcher import Dispatcher, wait_until_idle
 from .entries import EntryTable
-from .grants import Grants, Reply
+from .grants import Grants
 from .http import agent_routes
 from .orders import Orders
+from .places import Reply
 from .rates import Rates
+from .watch import PlaceWatch
 
 _logger = logging.getLogger(__name__)
 
 ROLE = "agent"
-# A stalled engine is noticed within two looks after 80 ms of silence.
-WATCH_PERIOD_S = 0.05
 DRAIN_POLL_S = 0.05
-# A paused upstream that resumes still delivers, so late requests are given up
-# only when its health check has failed for much longer than pauses last.
-UPSTREAM_SILENCE_S = 30.0
 # Dispatches of orders and lookups come on top of the places.
 EXTRA_EXCHANGES = 64
 
@@ -87,8 +84,6 @@
         self.incarnation = new_incarnation()
         self._http_address = ""
         self._is_stopping = False
-        self._down_at_s = self._started_at_s
-        self._n_places_logged = settings.places.initial
         self._is_ready = False
         places = settings.places
         node = settings.node
@@ -164,6 +159,14 @@
             send_replies=self._entries.send_replies,
             on_cut=self._reports.connection_cut,
         )
+        self._watch = PlaceWatch(
+            self._grants,
+            self._dispatcher,
+            self._load,
+            self._health,
+            self._entries.send_replies,
+            clock,
+        )
         self._adapters = AdapterKeeper(
             EngineManager(
                 self._client,
@@ -251,7 +254,7 @@
         )
         tasks.start("control", self._receive())
         tasks.start("beats", self._beat())
-        tasks.start("places", self._watch_places())
+        tasks.start("places", self._watch.run())
         tasks.start("health", self._health.run())
         if settings.upstream.kind == KIND_MODEL:
             tasks.start("load-reports", self._load.run())
@@ -312,40 +315,6 @@
     def _send_beats(self) -> None:
         self._entries.send_beat(self._agent_beat())
 
-    async def _watch_places(self) -> None:
-        """Expire grants and notice a stalled upstream."""
-        limit = self._grants.limit
-        last_report_s = 0.0
-        while True:
-            now_s = self._clock.monotonic_s()
-            limit.is_straggling(
-                now_s, self._dispatcher.n_streaming, self._dispatcher.n_prefilling
-            )
-            report = self._load.latest
-            if report is not None and report.received_s > last_report_s:
-                last_report_s = report.received_s
-                limit.observe_engine_queue(report.n_waiting, now_s)
-            self._entries.send_replies(self._grants.expire())
-            self._log_places()
-            if not self._health.is_up and now_s - self._down_at_s > UPSTREAM_SILENCE_S:
-                self._dispatcher.give_up_late()
-            await self._clock.sleep(WATCH_PERIOD_S)
-
-    def _log_places(self) -> None:
-        """Log large changes; steps of one place happen all the time."""
-        limit = self._grants.limit
-        before = self._n_places_logged
-        if before / 2 < limit.n_places < before * 2:
-            return
-        log_event(
-            _logger,
-            Event.PLACE_LIMIT_CHANGED,
-            n_places_before=before,
-            n_places=limit.n_places,
-            token_gap_s=round(limit.recent_gap_s, 4),
-        )
-        self._n_places_logged = limit.n_places
-
     def _hear_entry(self, beat: EntryBeat) -> None:
         self._grants.hear_entry(beat.incarnation)
         if self._entries.hear(beat):
@@ -383,7 +352,6 @@
             case Up():
                 log_event(_logger, Event.UPSTREAM_UP, url=url)
             case Down(detail=detail) | Gone(detail=detail):
-                self._down_at_s = self._clock.monotonic_s()
                 log_event(_logger, Event.UPSTREAM_DOWN, url=url, detail=detail)
         self._update_state()
 
--- a/src/pomelothread/agent/running.py
+++ b/src/pomelothread/agent/running.py
@@ -7,7 +7,7 @@
 from ..peers.dispatch import Dispatch
 from ..peers.http_exchange import Exchange
 from ..peers.messages import Offer
-from .grants import Place
+from .places import Place
 
 
 class DispatchSink(Protocol):
