Do not serve the planning sheet on the port that callers reach

Cause: entries handed the sheet to anybody at /control/sheet, with the names of all organisations and the digests of their tokens. Only agents serve it now, and a process that starts while the log is down asks agents. Ruled out: a separate port for it on entries, which needs a setting for what agents can do already.

--- a/src/pomelothread/agent/process.py
+++ b/src/pomelothread/agent/process.py
@@ -197,7 +197,7 @@
             self._metrics,
         )
         routes: list[Any] = agent_routes(self._dispatcher, self._orders)
-        routes += status_routes(source)
+        routes += status_routes(source, serves_sheet=True)
         # Binding the port comes before the claimant starts: from then on, no
         # earlier process of this slot is alive.
         server, self._http_address = listen_http(routes, self._settings.http_address)
--- a/src/pomelothread/entry/process.py
+++ b/src/pomelothread/entry/process.py
@@ -136,7 +136,10 @@
             self._surroundings.replica.snapshot,
             self._metrics,
         )
-        routes: list[Any] = [*status_routes(source), *caller_routes(self._scheduler)]
+        routes: list[Any] = [
+            *status_routes(source, serves_sheet=False),
+            *caller_routes(self._scheduler),
+        ]
         server, http_address = listen_http(routes, self._settings.http_address)
         log_event(
             _logger,
--- a/src/pomelothread/peers/status.py
+++ b/src/pomelothread/peers/status.py
@@ -100,7 +100,7 @@
 
 
 def status_routes(
-    source: StatusSource,
+    source: StatusSource, *, serves_sheet: bool
 ) -> list[tuple[str, type[tornado.web.RequestHandler], dict[str, StatusSource]]]:
     """Return the routes of the common resources.
 
@@ -108,6 +108,9 @@
     ----------
     source : StatusSource
         Where they get their content from.
+    serves_sheet : bool
+        Whether to hand the sheet over to peers. Not on a port that callers
+        reach, since it names all organisations.
 
     Returns
     -------
@@ -115,10 +118,14 @@
         Route specifications for `tornado.web.Application`.
     """
     argument = {"source": source}
-    return [
+    routes: list[
+        tuple[str, type[tornado.web.RequestHandler], dict[str, StatusSource]]
+    ] = [
         (r"/healthz", HealthHandler, argument),
         (r"/readyz", ReadyHandler, argument),
         (r"/metrics", MetricsHandler, argument),
         (r"/control/status", StatusHandler, argument),
-        (r"/control/sheet", SheetHandler, argument),
     ]
+    if serves_sheet:
+        routes.append((r"/control/sheet", SheetHandler, argument))
+    return routes
--- a/src/pomelothread/peers/surroundings.py
+++ b/src/pomelothread/peers/surroundings.py
@@ -20,6 +20,9 @@
 
 _logger = logging.getLogger(__name__)
 
+# Agents hand the sheet over; their port is not reached by callers.
+SHEET_ROLE = "agent"
+
 
 @dataclass(frozen=True, slots=True)
 class PlatformAddresses:
@@ -184,7 +187,7 @@
     def _peer_addresses(self) -> list[str]:
         return [
             instance.http_address
-            for instance in self.membership.all()
+            for instance in self.membership.all(SHEET_ROLE)
             if instance.name != self._addresses.instance
         ]
 
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -211,6 +211,12 @@
         assert status["sheet_version"] == 1
 
 
+def test_callers_cannot_read_the_sheet(site):
+    for node in site.launcher.nodes.values():
+        response = httpx2.get(f"http://{node.http_address}/control/sheet")
+        assert response.status_code == (200 if node.role == "agent" else 404)
+
+
 def test_orders_are_refused_at_once_while_the_log_is_down_and_checks_go_on(site):
     url = f"http://{site.launcher.log_address}/_faults"
     httpx2.post(url, json={"down": True})
