--- a/Makefile
+++ b/Makefile
@@ -37,8 +37,8 @@
 	$(VENV)/bin/ruff format .
 	$(VENV)/bin/ruff check --fix .
 
-lock:
-	pip-compile --quiet --extra dev --generate-hashes --allow-unsafe \
+lock: $(VENV)/.installed
+	$(VENV)/bin/pip-compile --quiet --extra dev --generate-hashes --allow-unsafe \
 	    --strip-extras --no-emit-index-url --no-emit-find-links --output-file requirements.lock pyproject.toml
 
 clean:
