Do not let one record that is no object stop all readers of a topic

Cause: the client of the log decoded each value as an object, so a single text or number on a topic made every read of its batch fail, in every process, until retention deleted it.

The new contract case runs on both clients; with the old type it fails over HTTP.

--- a/src/pomelothread/log/client.py
+++ b/src/pomelothread/log/client.py
@@ -10,7 +10,7 @@
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPClientError, HTTPRequest, HTTPResponse
 
-from .records import LogBatch, LogFailure, LogFault, LogRecord
+from .records import LogBatch, LogFailure, LogFault, LogRecord, as_object
 
 CONTENT_TYPE = "application/vnd.kafka.json.v2+json"
 ACCEPT = "application/vnd.kafka.v2+json"
@@ -40,7 +40,7 @@
 class _WireRecord(msgspec.Struct):
     offset: int
     timestamp: int
-    value: dict[str, Any]
+    value: Any
 
 
 class _DeletedAnswer(msgspec.Struct):
@@ -184,7 +184,7 @@
                 topic,
                 record.offset,
                 datetime.fromtimestamp(record.timestamp / 1000, UTC),
-                record.value,
+                as_object(record.value),
             )
             for record in wire
         )
--- a/src/pomelothread/log/memory.py
+++ b/src/pomelothread/log/memory.py
@@ -9,7 +9,7 @@
 from returns.result import Failure, Result, Success
 
 from ..clock import Clock
-from .records import LogBatch, LogFailure, LogFault, LogRecord
+from .records import LogBatch, LogFailure, LogFault, LogRecord, as_object
 
 
 @dataclass(slots=True)
@@ -159,7 +159,8 @@
     def _store(self, name: str, value: dict[str, Any]) -> int:
         topic = self._topic(name)
         offset = topic.first_offset + len(topic.records)
-        topic.records.append(LogRecord(name, offset, self._clock.now(), value))
+        record = LogRecord(name, offset, self._clock.now(), as_object(value))
+        topic.records.append(record)
         self.n_appends += 1
         topic.changed.set()
         topic.changed = asyncio.Event()
--- a/src/pomelothread/log/records.py
+++ b/src/pomelothread/log/records.py
@@ -50,6 +50,32 @@
     n_expired: int = 0
 
 
+def as_object(value: Any) -> dict[str, Any]:
+    """Return a record's value as an object.
+
+    Anybody can append to a topic. A value of another type would otherwise make
+    every read of its batch fail for as long as the log keeps it.
+
+    Parameters
+    ----------
+    value : Any
+        As read from the log.
+
+    Returns
+    -------
+    dict of str to Any
+        The value itself, or an object that no reader accepts as a record.
+
+    Examples
+    --------
+    >>> as_object({"format": 1}), as_object("text")
+    ({'format': 1}, {'malformed': 'text'})
+    """
+    if isinstance(value, dict):
+        return value
+    return {"malformed": value}
+
+
 class LogClient(Protocol):
     """Access to the log; never retries an append by itself."""
 
--- a/tests/test_log_clients.py
+++ b/tests/test_log_clients.py
@@ -80,6 +80,13 @@
     assert (batch.next_offset, batch.n_expired) == (3, 0)
 
 
+async def case_a_value_that_is_no_object_does_not_stop_its_readers(rig: Rig) -> None:
+    await rig.log.append(TOPIC, "text")  # type: ignore[arg-type]
+    await rig.log.append(TOPIC, {"n": 1})
+    batch = (await rig.log.read(TOPIC, 0, 0.0)).unwrap()
+    assert [r.value for r in batch.records] == [{"malformed": "text"}, {"n": 1}]
+
+
 async def case_read_at_the_end_is_empty(rig: Rig) -> None:
     await rig.log.append(TOPIC, {})
     batch = (await rig.log.read(TOPIC, 1, 0.0)).unwrap()
