Tell routing that plain requests have no tokens, and that one still runs

Cause: plain requests were given one token each, so predictions used the token formula and ignored the measured service time; agents of plain services all looked alike. They have none now, and an agent reports the age of what still runs if that is more than its average time, since a slow request is counted only at its end.

Not examined further: the third server is in the other region and gets almost no work.

--- a/src/pomelothread/agent/dispatcher.py
+++ b/src/pomelothread/agent/dispatcher.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable, Mapping
+from statistics import median
 
 from opentelemetry.trace import SpanKind, Tracer
 
@@ -120,6 +121,17 @@
         now_s = self._clock.monotonic_s()
         return sum(r.prefill_until_s > now_s for r in self._running.values())
 
+    @property
+    def service_time_s(self) -> float:
+        """Average time of a request, or the age of those that exceed it.
+
+        A request that still runs shows that the upstream is slow long before
+        its end is counted.
+        """
+        now_s = self._clock.monotonic_s()
+        ages_s = [now_s - r.started_at_s for r in self._running.values()]
+        return max(self._rates.service_time_s, median(ages_s) if ages_s else 0.0)
+
     async def dispatch(
         self,
         dispatch: Dispatch,
@@ -168,6 +180,7 @@
         ):
             fingerprint = body_fingerprint(dispatch.service, dispatch.path, body)
             running = RunningRequest(place, dispatch, fingerprint, not self._running)
+            running.started_at_s = self._clock.monotonic_s()
             for other in self._running.values():
                 other.ran_alone = False
             self._running[place.grant] = running
@@ -266,6 +279,7 @@
         if dispatch.key:
             headers["Idempotency-Key"] = dispatch.key
         started_at_s = self._clock.monotonic_s()
+        running.started_at_s = started_at_s
         running.prefill_until_s = started_at_s + self._prefill_s(running.offer)
         running.deadline_at_s = started_at_s + running.offer.deadline_ms / 1000
         with self._tracer.start_as_current_span(
--- a/src/pomelothread/agent/grants.py
+++ b/src/pomelothread/agent/grants.py
@@ -377,5 +377,5 @@
 
 
 def _cost(offer: Offer) -> float:
-    """Return what an organisation is charged for a request, in tokens."""
-    return float(offer.n_input_tokens + offer.n_output_tokens)
+    """Return what an organisation is charged: tokens, or 1 for a plain request."""
+    return float(max(1, offer.n_input_tokens + offer.n_output_tokens))
--- a/src/pomelothread/agent/process.py
+++ b/src/pomelothread/agent/process.py
@@ -339,7 +339,7 @@
             waiting_by_rank=grants.queue.counts_by_rank(),
             token_gap_s=grants.limit.mean_gap_s,
             prefill_tokens_per_s=self._rates.prefill_tokens_per_s,
-            service_time_s=self._rates.service_time_s,
+            service_time_s=self._dispatcher.service_time_s,
             floors=grants.floors.active(now_s),
             suspects=self._crashes.suspects,
             convicted=self._crashes.convicted,
@@ -410,7 +410,7 @@
             left_s,
             self._grants.limit.mean_gap_s,
             self._rates.prefill_tokens_per_s,
-            self._rates.service_time_s,
+            self._dispatcher.service_time_s,
         )
 
     def _instances_of_pool(self) -> list[str]:
--- a/src/pomelothread/agent/running.py
+++ b/src/pomelothread/agent/running.py
@@ -65,6 +65,8 @@
         With the upstream, once it is open.
     entry_left : bool
         Whether the entry closed its connection.
+    started_at_s : float
+        Monotonic time at which it was sent, or taken before that.
     deadline_at_s : float
         Monotonic time of the caller's deadline.
     prefill_until_s : float
@@ -78,6 +80,7 @@
     ran_alone: bool
     exchange: Exchange | None = None
     entry_left: bool = False
+    started_at_s: float = 0.0
     deadline_at_s: float = 0.0
     prefill_until_s: float = 0.0
 
--- a/src/pomelothread/callers/requests.py
+++ b/src/pomelothread/callers/requests.py
@@ -283,8 +283,8 @@
             body=body,
             streamed=False,
             key=key,
-            n_input_tokens=1,
-            n_output_tokens=1,
+            n_input_tokens=0,
+            n_output_tokens=0,
             deadline_s=_deadline_s(service, wait_s),
         )
     )
