Suspect of a crash only what ran when the upstream died

Cause: after a cut connection an agent looks at its upstream for 0.5 s, and cuts in that time were ignored. Cuts are now joined until the upstream has answered a look; a later cut starts a new list.

Ruled out: joining all cuts of the 0.5 s. A suspect that dies alone would then share its list with a request that had been cut before, and would not be convicted by its second crash.

--- a/src/pomelothread/agent/crash_reports.py
+++ b/src/pomelothread/agent/crash_reports.py
@@ -46,10 +46,13 @@
     """
 
     __slots__ = (
+        "_answered_since_cut",
         "_clock",
         "_crashes",
+        "_cut_off",
         "_is_dead",
         "_log",
+        "_n_looks_left",
         "_probing",
         "_tasks",
         "_tell_entries",
@@ -69,6 +72,9 @@
         self._is_dead = is_dead
         self._tell_entries = tell_entries
         self._probing: asyncio.Task[None] | None = None
+        self._cut_off: dict[str, None] = {}
+        self._answered_since_cut = False
+        self._n_looks_left = 0
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def connection_cut(self, running: list[str]) -> None:
@@ -81,12 +87,18 @@
         Parameters
         ----------
         running : list of str
-            Fingerprints of all requests that were running. Only the first cut
-            of a crash sees all of them, so later ones are ignored while the
-            upstream is being probed.
+            Fingerprints of all requests that were running. The cuts of one
+            crash come together, and each sees fewer of them, so their lists are
+            joined. A cut after the upstream has answered belongs to another
+            event, and what ran before it did not crash the upstream.
         """
+        if self._answered_since_cut:
+            self._cut_off.clear()
+        self._answered_since_cut = False
+        self._cut_off |= dict.fromkeys(running)
+        self._n_looks_left = N_PROBES
         if self._probing is None:
-            self._probing = self._keep(self._probe(running))
+            self._probing = self._keep(self._probe())
         await wait_at_most(self._probing, self._clock, VERDICT_WAIT_S)
 
     def append(self, record: dict[str, Any]) -> None:
@@ -116,15 +128,18 @@
         task.add_done_callback(self._tasks.discard)
         return task
 
-    async def _probe(self, running: list[str]) -> None:
+    async def _probe(self) -> None:
         try:
-            for _ in range(N_PROBES):
+            while self._n_looks_left > 0:
+                self._n_looks_left -= 1
                 if await self._is_dead():
-                    self._report(running)
+                    self._report(list(self._cut_off))
                     return
+                self._answered_since_cut = True
                 await self._clock.sleep(PROBE_PERIOD_S)
         finally:
             self._probing = None
+            self._cut_off.clear()
 
     def _report(self, running: list[str]) -> None:
         now_s = self._clock.monotonic_s()
