Follow the cache events of an engine and show what it holds

Cause: the settings, the stand-in and the decoder of cache events existed, but no process used them. The agent now follows them, if its settings name a publisher, and shows the blocks held and the gaps as metrics. Routing goes on using the prefixes that an entry has sent: an engine's block hashes are over tokens, and the scheduler has no tokenizer.

--- a/src/pomelothread/agent/process.py
+++ b/src/pomelothread/agent/process.py
@@ -259,10 +259,24 @@
         if settings.upstream.kind == KIND_MODEL:
             tasks.start("load-reports", self._load.run())
             tasks.start("adapters", self._adapters.run())
+        if settings.upstream.cache_events:
+            self._follow_cache(tasks, settings.upstream.cache_events)
         tasks.start("claims", self._claimant.run())
         tasks.start("crashes", crash_tail.run())
         self._surroundings.start(tasks)
 
+    def _follow_cache(self, tasks: Tasks, address: str) -> None:
+        # ZeroMQ is imported only where an engine publishes events.
+        from ..upstreams.cache_events import CacheIndex, follow_cache_events
+
+        index = CacheIndex()
+        tasks.start("cache-events", follow_cache_events(f"tcp://{address}", index))
+        gauges = {
+            "cached_blocks": lambda: float(len(index)),
+            "cache_event_gaps": lambda: float(index.counts.n_gaps),
+        }
+        add_gauges(self._metrics, gauges)
+
     async def _receive(self) -> None:
         """Handle the messages of all entries, in order of arrival."""
         while True:
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -211,6 +211,29 @@
         assert status["sheet_version"] == 1
 
 
+def test_an_agent_follows_the_cache_of_its_engine(site):
+    text = " ".join(f"cleft-{number}" for number in range(200))
+    for instance in ("model-1", "model-2"):
+        direct = f"http://{site.launcher.upstream_address(instance)}"
+        body = {
+            "model": "willow-13b",
+            "messages": [{"role": "user", "content": text}],
+            "max_tokens": 1,
+        }
+        agent = f"http://{site.launcher.nodes[instance].http_address}/metrics"
+        n_blocks = 0.0
+        while not n_blocks:  # Events may come before the agent has subscribed.
+            body["messages"][0]["content"] += " again"
+            body["messages"][0]["content"] = "x" + body["messages"][0]["content"]
+            httpx2.post(direct + "/v1/chat/completions", json=body)
+            (line,) = [
+                row
+                for row in httpx2.get(agent).text.splitlines()
+                if row.startswith("pomelothread_cached_blocks ")
+            ]
+            n_blocks = float(line.split()[1])
+
+
 def test_callers_cannot_read_the_sheet(site):
     for node in site.launcher.nodes.values():
         response = httpx2.get(f"http://{node.http_address}/control/sheet")
