Stop one entry after the other in the fault trials

The operations page says to replace one instance of a role after the other, and the trials now do so for entries. The check is unchanged; agents and entries are still stopped together.

--- a/tools/fault_cases.py
+++ b/tools/fault_cases.py
@@ -134,7 +134,8 @@
 
 
 async def _terminate(trial: Trial, victim: str) -> None:
-    async with trial.world.locks[victim]:
+    world = trial.world
+    async with world.planned_stop(victim), world.locks[victim]:
         status = await trial.world.terminate(victim)
         if status not in (0, -signal.SIGTERM):
             trial.violations.append(("stop", f"{victim} exited with {status}"))
@@ -145,7 +146,7 @@
     """Replace all nodes one after the other, as docs/operations.md says."""
     world = trial.world
     for name, node in world.launcher.nodes.items():
-        async with world.locks[name]:
+        async with world.planned_stop(name), world.locks[name]:
             node.state = LEAVING
             await world.launcher.list_instances()
             status = await world.terminate(name)
--- a/tools/fault_world.py
+++ b/tools/fault_world.py
@@ -7,7 +7,7 @@
 import tempfile
 import time
 from collections.abc import Mapping
-from contextlib import suppress
+from contextlib import AbstractAsyncContextManager, nullcontext, suppress
 from pathlib import Path
 from typing import Any
 
@@ -112,6 +112,7 @@
             name: asyncio.Lock()
             for name in (*self.launcher.nodes, *self.upstream_names())
         }
+        self._entry_stops = asyncio.Lock()
         # Orders that ran in any trial, with the response.
         self.known_orders: dict[Call, str] = {}
         self.checked_logs: dict[str, int] = {}
@@ -126,6 +127,16 @@
         await self.launcher.__aexit__(*exc_info)
         shutil.rmtree(self._journals, ignore_errors=True)
 
+    def planned_stop(self, name: str) -> AbstractAsyncContextManager[object]:
+        """Return what a planned stop has to hold.
+
+        Operators stop one entry after the other (docs/operations.md). With both
+        stopped, callers would find none, which is not a cut request.
+        """
+        node = self.launcher.nodes.get(name)
+        is_entry = node is not None and node.role == ENTRY
+        return self._entry_stops if is_entry else nullcontext()
+
     def names(self, role: str) -> list[str]:
         """Return the nodes of a role."""
         return [n for n, node in self.launcher.nodes.items() if node.role == role]
