Keep the outbox of a successor in the same slot

Cause: when an agent was replaced in its slot, the entry forgot the predecessor and closed the outbox of its address, which is the successor's too. Messages that were queued for the successor were lost, and a socket was closed while in use. The same held for an agent and the entries that it hears. An outbox is now kept while anybody uses its address.

--- a/src/pomelothread/agent/entries.py
+++ b/src/pomelothread/agent/entries.py
@@ -63,7 +63,9 @@
             if now_s - entry.heard_at_s <= SILENCE_S:
                 continue
             del self._entries[incarnation]
-            self._channel.forget(entry.inbox)
+            if not any(e.inbox == entry.inbox for e in self._entries.values()):
+                # Not the outbox of a successor in the same slot.
+                self._channel.forget(entry.inbox)
             log_event(
                 _logger,
                 Event.PEER_DOWN,
--- a/src/pomelothread/entry/agents.py
+++ b/src/pomelothread/entry/agents.py
@@ -142,6 +142,13 @@
         ]
         return [self._agents.pop(incarnation) for incarnation in gone]
 
+    def uses_inbox(self, inbox: str) -> bool:
+        """Whether an agent that is remembered listens at a control address.
+
+        A successor in a slot has the address of its predecessor.
+        """
+        return any(known.beat.inbox == inbox for known in self._agents.values())
+
     def all(self) -> list[KnownAgent]:
         """Return all agents that are remembered."""
         return list(self._agents.values())
--- a/src/pomelothread/entry/process.py
+++ b/src/pomelothread/entry/process.py
@@ -205,7 +205,8 @@
             self._scheduler.give_up_hopeless()
             self._offers.drop_silent()
             for gone in self._agents.forget_silent():
-                self._channel.forget(gone.beat.inbox)
+                if not self._agents.uses_inbox(gone.beat.inbox):
+                    self._channel.forget(gone.beat.inbox)
                 log_event(
                     _logger,
                     Event.PEER_DOWN,
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -61,6 +61,15 @@
     assert bool(table.views("p")) is is_used
 
 
+def test_the_outbox_of_a_successor_in_the_same_slot_is_kept():
+    table = AgentTable(_clock(), Membership())
+    table.hear(BEAT)
+    table.hear(msgspec.structs.replace(BEAT, incarnation="successor"))
+    (gone,) = table.forget_silent()
+    assert gone.beat.incarnation == "i"
+    assert table.uses_inbox(gone.beat.inbox)
+
+
 def _clock():
     return ManualClock(datetime(2026, 3, 1, tzinfo=UTC))
 
