Test the openai client's own retries against the whole path

With its default settings it repeats what did not run, after Retry-After, and does not repeat what may have run: an engine that answers nothing after the effect receives the request once, counted there. Both cases pass; nothing had to be changed.

--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -102,6 +102,62 @@
     assert "".join(parts) == answer_text(MESSAGES[0]["content"], 9)
 
 
+def test_the_openai_client_does_not_repeat_what_may_have_run(site):
+    for instance in ("model-1", "model-2"):
+        site.fault(instance, close_after_effect=True)
+    before = site.n_received()
+    try:
+        with pytest.raises(openai.APIStatusError) as raised:
+            site.client().chat.completions.create(
+                model="buyer-reply", messages=MESSAGES, max_tokens=4
+            )
+    finally:
+        for instance in ("model-1", "model-2"):
+            site.fault(instance)
+    assert raised.value.response.json()["outcome"] == "not-known"
+    assert site.n_received() == before + 1
+
+
+def test_the_openai_client_comes_back_by_itself_after_not_run(site):
+    # The first answer is "no upstream"; the client's own retry finds one again.
+    for instance in ("model-1", "model-2"):
+        site.fault(instance, unhealthy=True)
+        site.run(_wait_state(site, instance, "closed"))
+    probe = {"model": "buyer-reply", "messages": MESSAGES}
+    kind = ""
+    while not kind.endswith("no-upstream"):  # The entry has heard of both.
+        path, headers = "/v1/chat/completions", {"Prefer": "wait=1"}
+        kind = site.request("POST", path, headers=headers, json=probe).json()["type"]
+    client = site.client()
+    seen = []
+
+    def heal(response):
+        seen.append(response.status_code)
+        for instance in ("model-1", "model-2"):
+            site.fault(instance)
+            site.run(_wait_state(site, instance, "open"))
+
+    with httpx2.Client(event_hooks={"response": [heal]}) as http:
+        completion = client.with_options(http_client=http).chat.completions.create(
+            model="buyer-reply", messages=MESSAGES, max_tokens=4
+        )
+    assert seen == [503, 200]
+    assert completion.choices[0].message.content == answer_text(
+        MESSAGES[0]["content"], 4
+    )
+
+
+async def _wait_state(site, instance, state):
+    """Wait until an agent shows a state."""
+    address = site.launcher.nodes[instance].http_address
+    async with httpx2.AsyncClient() as client:
+        while True:
+            response = await client.get(f"http://{address}/control/status")
+            if response.json()["state"] == state:
+                return
+            await asyncio.sleep(0.02)
+
+
 def test_the_services_are_listed_as_models(site):
     names = {model.id for model in site.client().models.list()}
     assert {"buyer-reply", "cleft-report"} <= names
