Start no endless exchange with the successor of a killed agent

Cause: an offer for a killed agent reached its successor at the same address, which refused it under its own name. The entry did not find that name among the request's offers, so it kept the old one and offered again at once: the two exchanged messages without pause until the successor's first heartbeat. After 1,024 rounds the delay of the next repeat, 2.0 to the power of their number, overflowed; the task of the control messages ended, the entry stopped as for a broken invariant, and its callers lost their connections without an outcome.

Change: a refusal by an agent that holds no offer of the request is ignored, unless it sheds or convicts; and the exponent is bounded.

The new fleet case fails before (OverflowError) and passes.

--- a/src/pomelothread/entry/offers.py
+++ b/src/pomelothread/entry/offers.py
@@ -20,6 +20,7 @@
 # the answers to grants so much that upstreams were idle for most of the time.
 REPEAT_MIN_S = 0.25
 REPEAT_MAX_S = 2.0
+REPEAT_MAX_DOUBLINGS = 3
 # Routing takes a fraction of a millisecond for each request. With short periods
 # the work follows the arrivals, and no pass holds up streams and grants for long.
 REPEAT_POLL_S = 0.05
@@ -135,7 +136,7 @@
     def _set_repeat(self, request: WaitingRequest, now_s: float) -> None:
         left_s = request.deadline_at_s - now_s
         delay_s = min(
-            REPEAT_MIN_S * 2.0**request.n_repeats,
+            REPEAT_MIN_S * 2.0 ** min(request.n_repeats, REPEAT_MAX_DOUBLINGS),
             REPEAT_MAX_S,
             max(REPEAT_MIN_S, REPEAT_MAX_SHARE_OF_LEFT * left_s),
         )
@@ -178,7 +179,8 @@
         request = self._waiting.get(message.request_id)
         if request is None:
             return
-        if request.offered.pop(message.incarnation, None) is not None:
+        was_offered = request.offered.pop(message.incarnation, None) is not None
+        if was_offered:
             self._count(message.incarnation, -1)
         match message.reason:
             case "floor":
@@ -186,9 +188,13 @@
             case "convicted":
                 detail = "The request has crashed upstreams; it did not run."
                 self._end(request, NotRun(Reason.CONVICTED, detail))
-            case _:
+            case _ if was_offered:
                 request.excluded.add(message.incarnation)
                 self.offer(request)
+            case _:
+                # A successor answers what was sent to its predecessor. Offering
+                # again now would reach it again, and so on without end.
+                pass
 
     def apply_floors(self, floors: tuple[Floor, ...]) -> None:
         """Shed what waits here below the floors that an agent reports."""
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -6,6 +6,8 @@
 import pytest
 from fake_fleet import Fleet
 
+from pomelothread.peers.messages import Refuse
+
 NETWORKS = {
     "a good network": {},
     "lost messages": {"loss": 0.2},
@@ -170,3 +172,22 @@
         return fleet.outcomes.get(kept)
 
     assert asyncio.run(scenario()) == "run"
+
+
+def test_a_refusal_by_an_unknown_successor_starts_no_endless_exchange():
+    async def scenario():
+        fleet = Fleet(n_places=1, n_agents=1)
+        fleet.service_time_s = 30.0
+        await fleet.step(60)
+        fleet.call(0, "checks", deadline_s=60.0)
+        await fleet.step(5)
+        fleet.call(0, "low", deadline_s=60.0)
+        await fleet.step(5)
+        (waiting,) = fleet.entries[0].waiting
+        refuse = Refuse("successor", waiting.request_id, "leaving")
+        n_before = len(fleet.network.queue)
+        for _ in range(2000):
+            fleet.entries[0].handle(refuse)
+        return len(fleet.network.queue) - n_before
+
+    assert asyncio.run(scenario()) == 0
