--- a/src/pomelothread/agent/dispatcher.py
+++ b/src/pomelothread/agent/dispatcher.py
@@ -1,6 +1,5 @@
 """The only place from which an upstream is sent requests."""
 
-import asyncio
 import logging
 from collections.abc import Awaitable, Callable, Mapping
 from statistics import median
@@ -391,22 +390,3 @@
 
     async def _cut(self, running: RunningRequest) -> None:
         await self._on_cut([other.fingerprint for other in self._running.values()])
-
-
-async def wait_until_idle(grants: Grants, clock: Clock, poll_s: float) -> None:
-    """Wait until nothing runs and no grant is open.
-
-    Parameters
-    ----------
-    grants : Grants
-        Must be closed, so that there are no new grants.
-    clock : Clock
-        For the delay between looks.
-    poll_s : float
-        Seconds between looks.
-    """
-    while grants.n_taken:
-        grants.expire()
-        await clock.sleep(poll_s)
-    # Let the last handlers write the end of their responses.
-    await asyncio.sleep(0)
--- a/src/pomelothread/agent/process.py
+++ b/src/pomelothread/agent/process.py
@@ -48,14 +48,14 @@
 from ..upstreams.management import EngineManager
 from .adapters import AdapterKeeper
 from .crash_reports import CrashReports
-from .dispatcher import Dispatcher, wait_until_idle
+from .dispatcher import Dispatcher
 from .entries import EntryTable
 from .grants import Grants
 from .http import agent_routes
 from .orders import Orders
 from .places import Reply
 from .rates import Rates
-from .watch import PlaceWatch
+from .watch import PlaceWatch, wait_until_idle
 
 _logger = logging.getLogger(__name__)
 
--- a/src/pomelothread/agent/watch.py
+++ b/src/pomelothread/agent/watch.py
@@ -1,5 +1,6 @@
 """Watching the places of an agent between the events that change them."""
 
+import asyncio
 import logging
 from collections.abc import Callable
 
@@ -110,3 +111,22 @@
             token_gap_s=round(limit.recent_gap_s, 4),
         )
         self._n_places_logged = limit.n_places
+
+
+async def wait_until_idle(grants: Grants, clock: Clock, poll_s: float) -> None:
+    """Wait until nothing runs and no grant is open.
+
+    Parameters
+    ----------
+    grants : Grants
+        Must be closed, so that there are no new grants.
+    clock : Clock
+        For the delay between looks.
+    poll_s : float
+        Seconds between looks.
+    """
+    while grants.n_taken:
+        grants.expire()
+        await clock.sleep(poll_s)
+    # Let the last handlers write the end of their responses.
+    await asyncio.sleep(0)
