Let the rank of the route decide between organisations of equal rank

Cause: an organisation's rank replaced the route's, and on these deployments all organisations have the same one, so course checks waited behind feedback. Ruled out: the order within a rank, which is unchanged.

--- a/src/pomelothread/gateway/forwarding.py
+++ b/src/pomelothread/gateway/forwarding.py
@@ -31,7 +31,12 @@
     after_attempt,
     give_up,
 )
-from ..policy.waiting_order import MAX_RETRY_AFTER_SHARE, WaitingFacts, retry_after_s
+from ..policy.waiting_order import (
+    MAX_RETRY_AFTER_SHARE,
+    WaitingFacts,
+    retry_after_s,
+    urgency,
+)
 from .attempt import Attempt
 from .configuration import Configuration, Organisation, Route
 from .dialect import CallerFacts, Dialect
@@ -157,10 +162,8 @@
         longest_s = route.timeout_s
         if facts.deadline_s is not None:
             longest_s = min(longest_s, facts.deadline_s)
-        has_own_tier = organisation is not None and organisation.tier is not None
-        tier = organisation.tier if has_own_tier and organisation else None
         waiting = WaitingFacts(
-            tier=route.tier if tier is None else tier,
+            urgency=urgency(organisation.tier if organisation else None, route.tier),
             arrived_s=arrived_s,
             aim_at_s=arrived_s + route.target_latency_s,
             deadline_at_s=arrived_s + longest_s - ANSWER_MARGIN_S,
--- a/src/pomelothread/gateway/peers.py
+++ b/src/pomelothread/gateway/peers.py
@@ -63,7 +63,7 @@
     used : dict of str to float
         Quota units admitted since the start, by organisation.
     waiting : dict of str to int
-        Most urgent tier that waits, by service.
+        Smallest urgency that waits, by service.
     peers : list of str
         Hosts of gateways that the sender has heard, in a beat.
     """
@@ -94,7 +94,7 @@
     loads : dict of str to LoadReport
         Its load by upstream.
     waiting : dict of str to int
-        Most urgent tier that waits there, by service.
+        Smallest urgency that waits there, by service.
     is_silent : bool
         Whether its load is no longer counted.
     """
@@ -195,12 +195,12 @@
         return n_running, n_pending_tokens
 
     def most_urgent_waiting(self) -> dict[str, int]:
-        """Return, for each service, the most urgent tier that waits at a peer."""
-        tiers: dict[str, int] = {}
+        """Return, for each service, the smallest urgency that waits at a peer."""
+        urgencies: dict[str, int] = {}
         for peer in self._peers.values():
-            for service, tier in peer.waiting.items():
-                tiers[service] = min(tier, tiers.get(service, tier))
-        return tiers
+            for service, rank in peer.waiting.items():
+                urgencies[service] = min(rank, urgencies.get(service, rank))
+        return urgencies
 
 
 class PeerLink(asyncio.DatagramProtocol):
--- a/src/pomelothread/gateway/queue.py
+++ b/src/pomelothread/gateway/queue.py
@@ -76,7 +76,7 @@
         self._clock = clock
         self._random = random_source
         self._tickets: dict[str, list[_Ticket]] = {}
-        self._peer_tiers: dict[str, int] = {}
+        self._peer_urgencies: dict[str, int] = {}
         self._recheck: asyncio.TimerHandle | None = None
         self.load_changed: asyncio.Event = asyncio.Event()
 
@@ -86,22 +86,22 @@
         return sum(len(tickets) for tickets in self._tickets.values())
 
     def most_urgent_waiting(self) -> dict[str, int]:
-        """Return, for each service, the most urgent tier that waits in time."""
+        """Return, for each service, the smallest urgency that waits in time."""
         now_s = self._clock.monotonic_s()
-        tiers = {}
+        urgencies = {}
         for service, tickets in self._tickets.items():
             in_time = [
-                ticket.job.waiting.tier
+                ticket.job.waiting.urgency
                 for ticket in tickets
                 if ticket.job.waiting.aim_at_s > now_s
             ]
             if in_time:
-                tiers[service] = min(in_time)
-        return tiers
+                urgencies[service] = min(in_time)
+        return urgencies
 
-    def set_peer_tiers(self, tiers: dict[str, int]) -> None:
-        """Take in, for each service, the most urgent tier waiting at peers."""
-        self._peer_tiers = tiers
+    def set_peer_urgencies(self, urgencies: dict[str, int]) -> None:
+        """Take in, for each service, the smallest urgency that waits at a peer."""
+        self._peer_urgencies = urgencies
 
     async def acquire(self, job: Job) -> Lease | NoSlot:
         """Wait for a slot of an upstream that has not had this request.
@@ -195,9 +195,9 @@
     def _choose(self, job: Job, now_s: float) -> Upstream | None:
         wanted = _wanted_by(job, now_s)
         candidates = usable(self._table.of_service(job.service), wanted, now_s)
-        peer_tier = self._peer_tiers.get(job.service)
+        peer_urgency = self._peer_urgencies.get(job.service)
         is_late = now_s > job.waiting.aim_at_s
-        if peer_tier is not None and (is_late or peer_tier < job.waiting.tier):
+        if peer_urgency is not None and (is_late or peer_urgency < job.waiting.urgency):
             candidates = [u for u in candidates if now_s - u.free_since_s > YIELD_S]
         return choose_upstream(candidates, wanted, self._random)
 
--- a/src/pomelothread/gateway/reports.py
+++ b/src/pomelothread/gateway/reports.py
@@ -124,7 +124,7 @@
         else:
             named = (self._upstreams.get(load.upstream_id) for load in message.loads)
             self._refresh(upstream for upstream in named if upstream is not None)
-        self._queue.set_peer_tiers(self._peers.most_urgent_waiting())
+        self._queue.set_peer_urgencies(self._peers.most_urgent_waiting())
         self._queue.serve_all()
 
     def _refresh(self, upstreams: Iterable[Upstream]) -> None:
--- a/src/pomelothread/policy/waiting_order.py
+++ b/src/pomelothread/policy/waiting_order.py
@@ -11,6 +11,8 @@
 # Retry-After may be at most a third of what the caller has left.
 MAX_RETRY_AFTER_SHARE = 0.33
 MIN_RETRY_AFTER_S = 0.25
+# Ranks of routes are below this, so that a rank of an organisation outweighs any.
+N_ROUTE_TIERS = 1_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -19,8 +21,8 @@
 
     Parameters
     ----------
-    tier : int
-        Rank of urgency; 0 is the most urgent.
+    urgency : int
+        Rank from `urgency`; lower goes first.
     arrived_s : float
         Monotonic time of its arrival.
     aim_at_s : float
@@ -29,12 +31,36 @@
         Monotonic time at which its caller leaves.
     """
 
-    tier: int
+    urgency: int
     arrived_s: float
     aim_at_s: float
     deadline_at_s: float
 
 
+def urgency(organisation_tier: int | None, route_tier: int) -> int:
+    """Combine the ranks of an organisation and of a route.
+
+    Parameters
+    ----------
+    organisation_tier : int or None
+        Takes precedence if it is set; 0 is the most urgent.
+    route_tier : int
+        Decides between requests of equal organisations.
+
+    Returns
+    -------
+    int
+        Lower goes first.
+
+    Examples
+    --------
+    >>> urgency(1, 0) < urgency(1, 2) < urgency(2, 0)
+    True
+    """
+    own = 0 if organisation_tier is None else organisation_tier
+    return own * N_ROUTE_TIERS + min(route_tier, N_ROUTE_TIERS - 1)
+
+
 def place_in_queue(facts: WaitingFacts, now_s: float) -> tuple[bool, int, float]:
     """Return the key by which waiting requests are sorted.
 
@@ -48,9 +74,9 @@
     Returns
     -------
     tuple of (bool, int, float)
-        Late ones last, then by tier, then by the time at which they are late.
+        Late ones last, then by urgency, then by the time at which they are late.
     """
-    return (now_s > facts.aim_at_s, facts.tier, facts.aim_at_s)
+    return (now_s > facts.aim_at_s, facts.urgency, facts.aim_at_s)
 
 
 def gives_up_at_s(facts: WaitingFacts) -> float:
