Set up the link between gateways, and stop on errors of callbacks

Cause: asyncio's datagram transport is no subclass of DatagramTransport, so an assertion failed in connection_made. asyncio logs errors of callbacks and goes on; no gateway heard another one. An exception handler of the loop now stops the process for a broken invariant there too. Ruled out: cuts between the machines (no message was ever received).

--- a/src/pomelothread/events.py
+++ b/src/pomelothread/events.py
@@ -245,6 +245,11 @@
         "%(took_s)s s: %(reason)s, retry after %(retry_after_s)s s, configuration "
         "%(configuration_version)s",
     )
+    CONNECTION_FAILED = (
+        814,
+        logging.WARNING,
+        "connection ended while it was being set up: %(detail)s",
+    )
     CONFIGURATION_IN_FORCE = (
         820,
         logging.INFO,
--- a/src/pomelothread/gateway/peers.py
+++ b/src/pomelothread/gateway/peers.py
@@ -9,6 +9,7 @@
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import cast
 
 import msgspec
 
@@ -225,8 +226,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take the transport."""
-        assert isinstance(transport, asyncio.DatagramTransport)
-        self._transport = transport
+        # asyncio's own datagram transport is no subclass of DatagramTransport.
+        self._transport = cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Take in one message."""
--- a/src/pomelothread/gateway/process.py
+++ b/src/pomelothread/gateway/process.py
@@ -7,7 +7,7 @@
 import signal
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, NoReturn
 
 from returns.result import Failure, Result, Success
 
@@ -138,6 +138,7 @@
     async def run(self) -> int:
         """Serve until SIGTERM; returns the exit code."""
         loop = asyncio.get_running_loop()
+        loop.set_exception_handler(_stop_on_error)
         loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
         # Settings are read at the start; addresses do not change in a process.
         loop.add_signal_handler(signal.SIGHUP, lambda: None)
@@ -311,8 +312,21 @@
 
     def _on_task_end(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
-        if task.cancelled() or task.exception() is None:
-            return
-        error = task.exception()
-        log_event(_log, Event.INVARIANT_BROKEN, exc_info=error, detail=repr(error))
-        raise SystemExit(1)
+        error = None if task.cancelled() else task.exception()
+        if error is not None:
+            _stop(error)
+
+
+def _stop_on_error(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+    """Stop the process when a callback fails, which asyncio would only log."""
+    error = context.get("exception")
+    if isinstance(error, OSError):
+        # A connection that ends while its transport is being set up.
+        log_event(_log, Event.CONNECTION_FAILED, detail=context.get("message"))
+        return
+    _stop(error or RuntimeError(str(context.get("message"))))
+
+
+def _stop(error: BaseException) -> NoReturn:
+    log_event(_log, Event.INVARIANT_BROKEN, exc_info=error, detail=repr(error))
+    raise SystemExit(1)
