Admit requests beyond a quota behind all others, within the tolerated window

A request that finds the bucket empty is now admitted if the window of the fleet stays within a part of the tolerance, behind all others, so it uses idle slots.

--- a/src/pomelothread/gateway/peers.py
+++ b/src/pomelothread/gateway/peers.py
@@ -16,6 +16,7 @@
 from ..addresses import Address
 from ..clock import Clock
 from ..events import Event, log_event
+from ..policy.quotas import UsedUnits
 
 _log = logging.getLogger(__name__)
 
@@ -61,7 +62,7 @@
         Whether upstreams that are not named have no request of the sender.
     loads : list of LoadReport
         Upstreams whose load has changed.
-    used : dict of str to float
+    used : dict of str to UsedUnits
         Quota units admitted since the start, by organisation.
     waiting : dict of str to int
         Smallest urgency that waits, by service.
@@ -73,7 +74,7 @@
     sequence: int
     is_beat: bool
     loads: list[LoadReport] = []
-    used: dict[str, float] = {}
+    used: dict[str, UsedUnits] = {}
     waiting: dict[str, int] = {}
     peers: list[str] = []
 
--- a/src/pomelothread/gateway/process.py
+++ b/src/pomelothread/gateway/process.py
@@ -107,7 +107,7 @@
         self._link = make_link(ConnectionPool(clock))
         random_source = random.Random()
         self._queue = UpstreamQueue(self._upstreams, clock, random_source)
-        self._quotas = QuotaBook()
+        self._quotas = QuotaBook(settings.quota_tolerance, clock.monotonic_s())
         self._peers = PeerTable(settings.peer_address, clock)
         self._forwarder = Forwarder(
             self._state,
--- a/src/pomelothread/gateway/queue.py
+++ b/src/pomelothread/gateway/queue.py
@@ -94,6 +94,7 @@
                 ticket.job.waiting.urgency
                 for ticket in tickets
                 if ticket.job.waiting.aim_at_s > now_s
+                and not ticket.job.waiting.is_beyond_quota
             ]
             if in_time:
                 urgencies[service] = min(in_time)
@@ -196,8 +197,9 @@
         wanted = _wanted_by(job, now_s)
         candidates = usable(self._table.of_service(job.service), wanted, now_s)
         peer_urgency = self._peer_urgencies.get(job.service)
-        is_late = now_s > job.waiting.aim_at_s
-        if peer_urgency is not None and (is_late or peer_urgency < job.waiting.urgency):
+        waiting = job.waiting
+        is_last = waiting.is_beyond_quota or now_s > waiting.aim_at_s
+        if peer_urgency is not None and (is_last or peer_urgency < waiting.urgency):
             candidates = [u for u in candidates if now_s - u.free_since_s > YIELD_S]
         return choose_upstream(candidates, wanted, self._random)
 
--- a/src/pomelothread/gateway/settings.py
+++ b/src/pomelothread/gateway/settings.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from ..addresses import Address
+from ..policy.quotas import QuotaTolerance
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,6 +38,8 @@
         Repeats that the fleet may send beyond that in a window.
     retry_window_s : float
         Length of that window.
+    quota_tolerance : QuotaTolerance
+        How operators measure quotas.
     """
 
     instance: str
@@ -52,3 +55,4 @@
     retry_ratio: float
     retry_stock: float
     retry_window_s: float
+    quota_tolerance: QuotaTolerance
--- a/src/pomelothread/platform/boot.py
+++ b/src/pomelothread/platform/boot.py
@@ -9,11 +9,10 @@
 
 from ..addresses import Address, parse_address
 from ..gateway.settings import GatewaySettings
+from ..policy.quotas import QuotaTolerance
 
 SETTINGS_VARIABLE = "POMELOTHREAD_SETTINGS"
 
-_MS = 0.001
-
 
 class _Listen(msgspec.Struct):
     front: str
@@ -21,13 +20,13 @@
 
 
 class _Bounds(msgspec.Struct):
-    drain_ms: float
     grace_s: float
-    config_ms: float
     retry_budget_ratio: float
     budget_window_s: float
     budget_slack: float
-    stable_window_ms: float
+    quota_window_s: float
+    quota_over: float
+    quota_slack: float
 
 
 class _Platform(msgspec.Struct):
@@ -103,6 +102,11 @@
             retry_ratio=boot.bounds.retry_budget_ratio,
             retry_stock=boot.bounds.budget_slack,
             retry_window_s=boot.bounds.budget_window_s,
+            quota_tolerance=QuotaTolerance(
+                boot.bounds.quota_window_s,
+                boot.bounds.quota_over,
+                boot.bounds.quota_slack,
+            ),
         )
     )
 
--- a/src/pomelothread/policy/waiting_order.py
+++ b/src/pomelothread/policy/waiting_order.py
@@ -4,10 +4,12 @@
 still be on time go first, late ones only when nothing else waits.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 # Part of its time that a request waits at most; the rest is kept for the run.
 MAX_WAIT_SHARE = 0.55
+# Part of its target latency that a request beyond a quota waits for an idle slot.
+MAX_QUOTA_WAIT_SHARE = 0.125
 # Retry-After may be at most a third of what the caller has left.
 MAX_RETRY_AFTER_SHARE = 0.33
 MIN_RETRY_AFTER_S = 0.25
@@ -29,12 +31,15 @@
         Monotonic time at which its response becomes late.
     deadline_at_s : float
         Monotonic time at which its caller leaves.
+    is_beyond_quota : bool
+        Whether it only gets what would be idle.
     """
 
     urgency: int
     arrived_s: float
     aim_at_s: float
     deadline_at_s: float
+    is_beyond_quota: bool = False
 
 
 def urgency(organisation_tier: int | None, route_tier: int) -> int:
@@ -61,7 +66,12 @@
     return own * N_ROUTE_TIERS + min(route_tier, N_ROUTE_TIERS - 1)
 
 
-def place_in_queue(facts: WaitingFacts, now_s: float) -> tuple[bool, int, float]:
+def behind_all_others(facts: WaitingFacts) -> WaitingFacts:
+    """Return the facts of a request that is beyond its organisation's quota."""
+    return replace(facts, is_beyond_quota=True)
+
+
+def place_in_queue(facts: WaitingFacts, now_s: float) -> tuple[bool, bool, int, float]:
     """Return the key by which waiting requests are sorted.
 
     Parameters
@@ -73,14 +83,24 @@
 
     Returns
     -------
-    tuple of (bool, int, float)
-        Late ones last, then by urgency, then by the time at which they are late.
+    tuple of (bool, bool, int, float)
+        Those beyond a quota last, then late ones, then by urgency, then by the
+        time at which they are late.
     """
-    return (now_s > facts.aim_at_s, facts.urgency, facts.aim_at_s)
+    return (
+        facts.is_beyond_quota,
+        now_s > facts.aim_at_s,
+        facts.urgency,
+        facts.aim_at_s,
+    )
 
 
 def gives_up_at_s(facts: WaitingFacts) -> float:
     """Return the monotonic time at which a request is refused."""
+    if facts.is_beyond_quota:
+        return facts.arrived_s + MAX_QUOTA_WAIT_SHARE * (
+            facts.aim_at_s - facts.arrived_s
+        )
     return facts.arrived_s + MAX_WAIT_SHARE * (facts.deadline_at_s - facts.arrived_s)
 
 
