--- a/src/pomelothread/gateway/forwarding.py
+++ b/src/pomelothread/gateway/forwarding.py
@@ -36,6 +36,7 @@
     WaitingFacts,
     behind_all_others,
     retry_after_s,
+    stream_patience_s,
     urgency,
 )
 from .attempt import Attempt
@@ -163,11 +164,15 @@
         longest_s = route.timeout_s
         if facts.deadline_s is not None:
             longest_s = min(longest_s, facts.deadline_s)
+        patience_s = longest_s
+        if route.is_streaming:
+            patience_s = stream_patience_s(route.target_latency_s, route.target_gap_s)
         waiting = WaitingFacts(
             urgency=urgency(organisation.tier if organisation else None, route.tier),
             arrived_s=arrived_s,
             aim_at_s=arrived_s + route.target_latency_s,
             deadline_at_s=arrived_s + longest_s - ANSWER_MARGIN_S,
+            leaves_at_s=arrived_s + min(longest_s, patience_s) - ANSWER_MARGIN_S,
         )
         return Job(
             request,
--- a/src/pomelothread/policy/waiting_order.py
+++ b/src/pomelothread/policy/waiting_order.py
@@ -10,6 +10,11 @@
 MAX_WAIT_SHARE = 0.55
 # Part of its target latency that a request beyond a quota waits for an idle slot.
 MAX_QUOTA_WAIT_SHARE = 0.125
+# Callers leave a stream after a pause of the longest of these, also before its
+# first event (the platform's protocol).
+MIN_STREAM_PATIENCE_S = 2.0
+LATENCIES_OF_PATIENCE = 4.0
+GAPS_OF_PATIENCE = 8.0
 # Retry-After may be at most a third of what the caller has left.
 MAX_RETRY_AFTER_SHARE = 0.33
 MIN_RETRY_AFTER_S = 0.25
@@ -31,6 +36,8 @@
         Monotonic time at which its response becomes late.
     deadline_at_s : float
         Monotonic time at which its caller leaves.
+    leaves_at_s : float
+        Monotonic time at which its caller leaves if nothing has come until then.
     is_beyond_quota : bool
         Whether it only gets what would be idle.
     """
@@ -39,9 +46,32 @@
     arrived_s: float
     aim_at_s: float
     deadline_at_s: float
+    leaves_at_s: float
     is_beyond_quota: bool = False
 
 
+def stream_patience_s(target_latency_s: float, target_gap_s: float | None) -> float:
+    """Return how long a caller waits for the next event of a stream, or the first.
+
+    Parameters
+    ----------
+    target_latency_s : float
+        Time within which the first event is on time.
+    target_gap_s : float or None
+        Longest pause that is on time.
+
+    Returns
+    -------
+    float
+        Seconds.
+    """
+    return max(
+        MIN_STREAM_PATIENCE_S,
+        LATENCIES_OF_PATIENCE * target_latency_s,
+        GAPS_OF_PATIENCE * (target_gap_s or 0.0),
+    )
+
+
 def urgency(organisation_tier: int | None, route_tier: int) -> int:
     """Combine the ranks of an organisation and of a route.
 
@@ -105,7 +135,7 @@
         return facts.arrived_s + MAX_QUOTA_WAIT_SHARE * (
             facts.aim_at_s - facts.arrived_s
         )
-    return facts.arrived_s + MAX_WAIT_SHARE * (facts.deadline_at_s - facts.arrived_s)
+    return facts.arrived_s + MAX_WAIT_SHARE * (facts.leaves_at_s - facts.arrived_s)
 
 
 def retry_after_s(facts: WaitingFacts, now_s: float, spread: float) -> float:
