--- a/src/pomelothread/gateway/forwarding.py
+++ b/src/pomelothread/gateway/forwarding.py
@@ -12,7 +12,7 @@
 from ..http1.messages import Request
 from ..http1.server import Responder
 from ..outcomes import NotKnown, NotRun, Reason
-from ..policy.quotas import Admission, QuotaBook
+from ..policy.quotas import QuotaBook
 from ..policy.repeats import (
     AnswerNotKnown,
     AnswerNotRun,
@@ -34,7 +34,6 @@
 from ..policy.waiting_order import (
     MAX_RETRY_AFTER_SHARE,
     WaitingFacts,
-    behind_all_others,
     retry_after_s,
     stream_patience_s,
     urgency,
@@ -125,23 +124,21 @@
             return Failure(NotRun(Reason.MALFORMED_BODY, "the request has no id"))
         if self._state.refuses_new:
             return Failure(NotRun(Reason.SHUTTING_DOWN, retry_after_s=SOON_S))
-        admission = Admission.WITHIN
         if organisation is not None:
             units = quota_units(organisation, facts)
-            admission = self._quotas.take(organisation.name, units, arrived_s)
-        if organisation is not None and admission is Admission.REFUSED:
-            return Failure(self._over_quota(organisation, facts))
+            if not self._quotas.try_take(organisation.name, units, arrived_s):
+                return Failure(self._over_quota(organisation, facts, arrived_s))
         job = self._make_job(
             request, facts, arrived_s, configuration, route, organisation
         )
-        if admission is Admission.TOLERATED:
-            job.waiting = behind_all_others(job.waiting)
         self._state.retry_budget(job.service).earn()
         return Success(job)
 
-    def _over_quota(self, organisation: Organisation, facts: CallerFacts) -> NotRun:
+    def _over_quota(
+        self, organisation: Organisation, facts: CallerFacts, now_s: float
+    ) -> NotRun:
         units = quota_units(organisation, facts)
-        wait_s = self._quotas.seconds_until(organisation.name, units)
+        wait_s = self._quotas.seconds_until(organisation.name, units, now_s)
         longest_s = MAX_RETRY_AFTER_SHARE * (facts.deadline_s or SOON_S)
         return NotRun(
             Reason.ORGANISATION_LIMIT, retry_after_s=min(max(wait_s, SOON_S), longest_s)
@@ -199,14 +196,8 @@
         finally:
             if job.n_sent == 0 and job.organisation is not None:
                 units = quota_units(job.organisation, job.facts)
-                admission = (
-                    Admission.TOLERATED
-                    if job.waiting.is_beyond_quota
-                    else Admission.WITHIN
-                )
-                self._quotas.give_back(
-                    job.organisation.name, units, admission, self._clock.monotonic_s()
-                )
+                now_s = self._clock.monotonic_s()
+                self._quotas.give_back(job.organisation.name, units, now_s)
             self._note_end(job, outcome)
 
     async def _try_upstreams(self, job: Job, responder: Responder) -> str:
@@ -275,8 +266,6 @@
 
     def _without_slot(self, job: Job, no_slot: NoSlot) -> NextStep:
         reason = Reason.OVERLOADED if no_slot.had_upstream else Reason.NO_UPSTREAM
-        if job.waiting.is_beyond_quota:
-            reason = Reason.ORGANISATION_LIMIT
         return give_up(self._repeat_facts(job), reason, job.first_head is not None)
 
     def _conclude(
--- a/src/pomelothread/gateway/peers.py
+++ b/src/pomelothread/gateway/peers.py
@@ -16,7 +16,6 @@
 from ..addresses import Address
 from ..clock import Clock
 from ..events import Event, log_event
-from ..policy.quotas import UsedUnits
 
 _log = logging.getLogger(__name__)
 
@@ -62,7 +61,7 @@
         Whether upstreams that are not named have no request of the sender.
     loads : list of LoadReport
         Upstreams whose load has changed.
-    used : dict of str to UsedUnits
+    used : dict of str to float
         Quota units admitted since the start, by organisation.
     waiting : dict of str to int
         Smallest urgency that waits, by service.
@@ -74,7 +73,7 @@
     sequence: int
     is_beat: bool
     loads: list[LoadReport] = []
-    used: dict[str, UsedUnits] = {}
+    used: dict[str, float] = {}
     waiting: dict[str, int] = {}
     peers: list[str] = []
 
--- a/src/pomelothread/gateway/process.py
+++ b/src/pomelothread/gateway/process.py
@@ -218,13 +218,9 @@
                 )
 
     def _apply_quotas(self, configuration: Configuration) -> None:
-        now_s = self._clock.monotonic_s()
         for organisation in configuration.organisations:
             self._quotas.set_quota(
-                organisation.name,
-                organisation.units_per_s,
-                organisation.burst_units,
-                now_s,
+                organisation.name, organisation.units_per_s, organisation.burst_units
             )
         self._quotas.keep_only({o.name for o in configuration.organisations})
 
--- a/src/pomelothread/gateway/queue.py
+++ b/src/pomelothread/gateway/queue.py
@@ -99,7 +99,6 @@
                 ticket.job.waiting.urgency
                 for ticket in tickets
                 if ticket.job.waiting.aim_at_s > now_s
-                and not ticket.job.waiting.is_beyond_quota
             ]
             if in_time:
                 urgencies[service] = min(in_time)
@@ -210,8 +209,8 @@
         candidates = usable(self._table.of_service(job.service), wanted, now_s)
         peer_urgency = self._peer_urgencies.get(job.service)
         waiting = job.waiting
-        is_last = waiting.is_beyond_quota or now_s > waiting.aim_at_s
-        if peer_urgency is not None and (is_last or peer_urgency < waiting.urgency):
+        is_late = now_s > waiting.aim_at_s
+        if peer_urgency is not None and (is_late or peer_urgency < waiting.urgency):
             candidates = [u for u in candidates if now_s - u.free_since_s > YIELD_S]
         return choose_upstream(candidates, wanted, self._random)
 
--- a/src/pomelothread/gateway/reports.py
+++ b/src/pomelothread/gateway/reports.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 
 from ..clock import Clock
-from ..policy.quotas import QuotaBook, UsedUnits
+from ..policy.quotas import QuotaBook
 from .peers import (
     BEAT_S,
     COALESCE_S,
@@ -59,7 +59,7 @@
         self._clock = clock
         self._sequence = 0
         self._sent: dict[str, tuple[int, int]] = {}
-        self._sent_used: dict[str, UsedUnits] = {}
+        self._sent_used: dict[str, float] = {}
         self._sent_waiting: dict[str, int] = {}
         self._last_beat_s = -BEAT_S
         self.link = PeerLink(peers, self.on_message)
--- a/src/pomelothread/policy/waiting_order.py
+++ b/src/pomelothread/policy/waiting_order.py
@@ -4,12 +4,10 @@
 still be on time go first, late ones only when nothing else waits.
 """
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 # Part of its time that a request waits at most; the rest is kept for the run.
 MAX_WAIT_SHARE = 0.55
-# Part of its target latency that a request beyond a quota waits for an idle slot.
-MAX_QUOTA_WAIT_SHARE = 0.125
 # Callers leave a stream after a pause of the longest of these, also before its
 # first event (the platform's protocol).
 MIN_STREAM_PATIENCE_S = 2.0
@@ -38,8 +36,6 @@
         Monotonic time at which its caller leaves.
     leaves_at_s : float
         Monotonic time at which its caller leaves if nothing has come until then.
-    is_beyond_quota : bool
-        Whether it only gets what would be idle.
     """
 
     urgency: int
@@ -47,7 +43,6 @@
     aim_at_s: float
     deadline_at_s: float
     leaves_at_s: float
-    is_beyond_quota: bool = False
 
 
 def stream_patience_s(target_latency_s: float, target_gap_s: float | None) -> float:
@@ -96,14 +91,9 @@
     return own * N_ROUTE_TIERS + min(route_tier, N_ROUTE_TIERS - 1)
 
 
-def behind_all_others(facts: WaitingFacts) -> WaitingFacts:
-    """Return the facts of a request that is beyond its organisation's quota."""
-    return replace(facts, is_beyond_quota=True)
-
-
 def place_in_queue(
     facts: WaitingFacts, now_s: float, start_s: float
-) -> tuple[bool, bool, int, float]:
+) -> tuple[bool, int, float]:
     """Return the key by which waiting requests are sorted.
 
     Parameters
@@ -117,12 +107,10 @@
 
     Returns
     -------
-    tuple of (bool, bool, int, float)
-        Those beyond a quota last, then late ones, then by urgency, then by the
-        time at which they are late.
+    tuple of (bool, int, float)
+        Late ones last, then by urgency, then by the time at which they are late.
     """
     return (
-        facts.is_beyond_quota,
         now_s + start_s > facts.aim_at_s,
         facts.urgency,
         facts.aim_at_s,
@@ -131,10 +119,6 @@
 
 def gives_up_at_s(facts: WaitingFacts) -> float:
     """Return the monotonic time at which a request is refused."""
-    if facts.is_beyond_quota:
-        return facts.arrived_s + MAX_QUOTA_WAIT_SHARE * (
-            facts.aim_at_s - facts.arrived_s
-        )
     return facts.arrived_s + MAX_WAIT_SHARE * (facts.leaves_at_s - facts.arrived_s)
 
 
