Test the gateway against stand-ins of the platform

Stand-ins of the store and of upstreams follow the platform's protocol and have switches for its faults.

Found by the tests: a head that arrives in one piece was not held to its limit, since h11 limits only incomplete ones.

--- a/src/pomelothread/gateway/process.py
+++ b/src/pomelothread/gateway/process.py
@@ -96,7 +96,7 @@
         self,
         settings: GatewaySettings,
         clock: Clock,
-        make_link: Callable[[ConnectionPool], PlatformLink],
+        make_link: Callable[[GatewaySettings, ConnectionPool], PlatformLink],
     ) -> None:
         self._settings = settings
         self._clock = clock
@@ -104,7 +104,7 @@
         self._state = GatewayState(settings)
         self._upstreams = UpstreamTable(settings.region, settings.regions)
         self._pool = ConnectionPool(clock)
-        self._link = make_link(ConnectionPool(clock))
+        self._link = make_link(settings, ConnectionPool(clock))
         random_source = random.Random()
         self._queue = UpstreamQueue(self._upstreams, clock, random_source)
         self._quotas = QuotaBook(settings.quota_tolerance, clock.monotonic_s())
@@ -134,12 +134,33 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._stopping = asyncio.Event()
         self._is_ready = False
+        self.is_listening = False
+
+    @property
+    def n_waiting(self) -> int:
+        """Requests that wait for an upstream."""
+        return self._queue.n_waiting
+
+    @property
+    def configuration_version(self) -> int | None:
+        """Version of the configuration in force."""
+        configuration = self._state.configuration
+        return configuration.version if configuration else None
+
+    def is_leaving(self, upstream_id: str) -> bool:
+        """Tell whether an upstream is known to be leaving or gone."""
+        upstream = self._upstreams.get(upstream_id)
+        return upstream is None or upstream.listing.is_leaving
+
+    def stop(self) -> None:
+        """Begin the graceful stop, as SIGTERM does."""
+        self._stopping.set()
 
     async def run(self) -> int:
         """Serve until SIGTERM; returns the exit code."""
         loop = asyncio.get_running_loop()
         loop.set_exception_handler(_stop_on_error)
-        loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
+        loop.add_signal_handler(signal.SIGTERM, self.stop)
         # Settings are read at the start; addresses do not change in a process.
         loop.add_signal_handler(signal.SIGHUP, lambda: None)
         for seed in self._settings.seed_addresses:
@@ -163,15 +184,20 @@
         admin = await self._listen(
             self._settings.admin_address, self._answer_admin, ServerLimits
         )
+        self.is_listening = True
         for follower in self._followers():
             self._start(follower.run())
         self._start(self._reporter.run())
         self._start(self._housekeeping())
-        await self._stopping.wait()
-        await self._drain(callers)
-        admin.close()
-        for task in self._tasks:
-            task.cancel()
+        try:
+            await self._stopping.wait()
+            await self._drain(callers)
+        finally:
+            callers.close()
+            admin.close()
+            self._reporter.link.close()
+            for task in self._tasks:
+                task.cancel()
         log_event(_log, Event.GATEWAY_STOPPED, n_open=self._state.n_open)
         return 0
 
--- a/src/pomelothread/http1/server.py
+++ b/src/pomelothread/http1/server.py
@@ -204,6 +204,10 @@
         if not isinstance(head, h11.Request):
             return None
         headers = tuple((bytes(name), bytes(value)) for name, value in head.headers)
+        if _head_bytes(head) > limits.max_head_bytes:
+            # h11 limits only a head that arrives in parts.
+            await self._reject(responder, 431)
+            return None
         if _has_ambiguous_framing(headers):
             await self._reject(responder, 400)
             return None
@@ -272,8 +276,17 @@
             return
 
 
+def _head_bytes(head: h11.Request) -> int:
+    """Return the size of a head, with the separators of its lines."""
+    fields = sum(len(name) + len(value) + 4 for name, value in head.headers)
+    return len(head.method) + len(head.target) + fields
+
+
 def _has_ambiguous_framing(headers: Headers) -> bool:
-    """Tell whether another server could see another end of this request."""
+    """Tell whether another server could see another end of this request.
+
+    h11 refuses different lengths and leaves one of equal ones.
+    """
     names = [name for name, _ in headers]
     n_lengths = names.count(b"content-length")
     return n_lengths > 1 or (n_lengths > 0 and b"transfer-encoding" in names)
--- a/src/pomelothread/platform/__main__.py
+++ b/src/pomelothread/platform/__main__.py
@@ -9,21 +9,10 @@
 from .. import __version__
 from ..clock import BootClock
 from ..events import setup_logging
-from ..gateway.process import Gateway, PlatformLink
-from ..http1.client import ConnectionPool
+from ..gateway.process import Gateway
 from ..settings import EXIT_SETTINGS, LoggingSettings
 from .boot import load_settings, settings_path
-from .headers import PlatformDialect
-from .records import decode_configuration, decode_listing
-from .store import (
-    CONFIGURATION_KEY,
-    CONFIGURATION_TOPIC,
-    LISTING_TOPIC,
-    StoreClient,
-    TopicFeed,
-)
-
-READINESS_PATH = b"/v1/readiness"
+from .link import make_platform_link
 
 USAGE = """Run one gateway of pomelothread.
 
@@ -68,19 +57,7 @@
                 return 0
     setup_logging(LoggingSettings(), settings.instance, sys.stdout)
 
-    def make_link(pool: ConnectionPool) -> PlatformLink:
-        store = StoreClient(settings.store_address, pool)
-        return PlatformLink(
-            dialect=PlatformDialect(),
-            configurations=TopicFeed(store, CONFIGURATION_TOPIC),
-            configuration_key=CONFIGURATION_KEY,
-            listings=TopicFeed(store, LISTING_TOPIC),
-            decode_configuration=decode_configuration,
-            decode_listing=decode_listing,
-            readiness_path=READINESS_PATH,
-        )
-
-    return asyncio.run(Gateway(settings, BootClock(), make_link).run())
+    return asyncio.run(Gateway(settings, BootClock(), make_platform_link).run())
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/src/pomelothread/platform/link.py
@@ -0,0 +1,38 @@
+"""Puts the adapter together for the gateway."""
+
+from ..gateway.process import PlatformLink
+from ..gateway.settings import GatewaySettings
+from ..http1.client import ConnectionPool
+from .headers import PlatformDialect
+from .records import decode_configuration, decode_listing
+from .store import (
+    CONFIGURATION_KEY,
+    CONFIGURATION_TOPIC,
+    LISTING_TOPIC,
+    StoreClient,
+    TopicFeed,
+)
+
+READINESS_PATH = b"/v1/readiness"
+
+
+def make_platform_link(settings: GatewaySettings, pool: ConnectionPool) -> PlatformLink:
+    """Return the adapter of the platform.
+
+    Parameters
+    ----------
+    settings : GatewaySettings
+        Of the process.
+    pool : ConnectionPool
+        For connections to the store.
+    """
+    store = StoreClient(settings.store_address, pool)
+    return PlatformLink(
+        dialect=PlatformDialect(),
+        configurations=TopicFeed(store, CONFIGURATION_TOPIC),
+        configuration_key=CONFIGURATION_KEY,
+        listings=TopicFeed(store, LISTING_TOPIC),
+        decode_configuration=decode_configuration,
+        decode_listing=decode_listing,
+        readiness_path=READINESS_PATH,
+    )
--- /dev/null
+++ b/tests/platform_rig.py
@@ -0,0 +1,243 @@
+"""A gateway with stand-ins of the platform, in one process."""
+
+import asyncio
+import socket
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+import h11
+
+from pomelothread.addresses import Address
+from pomelothread.clock import SystemClock
+from pomelothread.gateway.process import Gateway
+from pomelothread.gateway.settings import GatewaySettings
+from pomelothread.platform.link import make_platform_link
+from pomelothread.policy.quotas import QuotaTolerance
+from standins.platform import PlatformStore, PlatformUpstream
+
+KEY = "key-of-club"
+
+
+def route(name="drafts", kind="streaming", service="engines", **changes):
+    return {
+        "name": name,
+        "host": "a.example",
+        "path_prefix": f"/{name}/",
+        "kind": kind,
+        "timeout_ms": 5000,
+        "target_latency_ms": 1000,
+        "priority": 0,
+        "service": service,
+        "max_attempts": 2,
+        "resumable": False,
+        **changes,
+    }
+
+
+def configuration(version=1, routes=None, **changes):
+    return {
+        "version": version,
+        "routes": routes
+        or [
+            route(),
+            route("resumes", resumable=True),
+            route("orders", kind="non_idempotent", service="desk"),
+            route("lookups", kind="idempotent", service="desk"),
+        ],
+        "services": [
+            {"name": "engines", "max_conns": 100, "engine": {"slots": 4}},
+            {"name": "desk", "max_conns": 100},
+        ],
+        "limits": {
+            "max_header_bytes": 4096,
+            "max_body_bytes": 10_000,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+        },
+        "tenants": [{"name": "club", "api_keys": [KEY]}],
+        **changes,
+    }
+
+
+@dataclass
+class Answer:
+    status: int
+    headers: dict
+    body: bytes
+    is_complete: bool
+
+
+@dataclass
+class Rig:
+    store: PlatformStore
+    upstreams: dict = field(default_factory=dict)
+    gateway: Gateway = None
+    running: asyncio.Task = None
+    address: Address = None
+    admin_address: Address = None
+
+    def put_configuration(self, **changes):
+        self.store.put("keyed.op", "config", configuration(**changes))
+
+    async def add_upstream(self, upstream_id, service, **options):
+        upstream = PlatformUpstream(upstream_id, service, **options)
+        await upstream.http.start()
+        self.upstreams[upstream_id] = upstream
+        self.store.put("keyed.servers", upstream_id, upstream.listing())
+        return upstream
+
+    @property
+    def ran(self):
+        return [call for u in self.upstreams.values() for call in u.ran]
+
+    async def call(self, target, **options):
+        caller = await open_caller(self.address)
+        try:
+            caller.send(target, **options)
+            return await caller.answer()
+        finally:
+            caller.writer.close()
+
+    async def until_ready(self):
+        while (await self.readiness()) != 200:
+            await asyncio.sleep(0.01)
+
+    async def readiness(self):
+        caller = await open_caller(self.admin_address)
+        caller.send("/v1/readiness", method="GET")
+        answer = await caller.answer()
+        caller.writer.close()
+        return answer.status
+
+
+class Caller:
+    """One connection of a caller."""
+
+    def __init__(self, reader, writer):
+        self.reader = reader
+        self.writer = writer
+        self.protocol = h11.Connection(h11.CLIENT)
+
+    def send(
+        self,
+        target,
+        method="POST",
+        body=b"{}",
+        request_id="r1",
+        key=KEY,
+        tokens=None,
+        deadline_ms=4000,
+        headers=(),
+    ):
+        lines = [
+            ("Host", "a.example"),
+            ("X-Attempt-Id", request_id),
+            ("X-Deadline-Ms", str(deadline_ms)),
+            ("Content-Length", str(len(body))),
+            *headers,
+        ]
+        if key is not None:
+            lines.append(("Api-Key", key))
+        if tokens is not None:
+            lines.append(("X-Token-Usage", tokens))
+        if self.protocol.our_state is h11.DONE:
+            self.protocol.start_next_cycle()
+        request = h11.Request(method=method, target=target, headers=lines)
+        self.writer.write(self.protocol.send(request))
+        if body:
+            self.writer.write(self.protocol.send(h11.Data(data=body)))
+        self.writer.write(self.protocol.send(h11.EndOfMessage()))
+
+    async def answer(self):
+        head, body = None, b""
+        try:
+            while True:
+                event = self.protocol.next_event()
+                if event is h11.NEED_DATA:
+                    self.protocol.receive_data(await self.reader.read(65536))
+                elif isinstance(event, h11.Response):
+                    head = event
+                elif isinstance(event, h11.Data):
+                    body += event.data
+                elif isinstance(event, h11.EndOfMessage):
+                    return self._answer(head, body, True)
+                else:
+                    return self._answer(head, body, False)
+        except (h11.RemoteProtocolError, ConnectionError):
+            return self._answer(head, body, False)
+
+    def _answer(self, head, body, is_complete):
+        if head is None:
+            return Answer(0, {}, body, is_complete)
+        headers = {k.decode(): v.decode() for k, v in head.headers}
+        return Answer(head.status_code, headers, bytes(body), is_complete)
+
+
+async def open_caller(address):
+    return Caller(*await asyncio.open_connection(address.host, address.port))
+
+
+def free_addresses(n):
+    """Return addresses that the kernel has just given out."""
+    sockets = [socket.socket() for _ in range(n)]
+    try:
+        for sock in sockets:
+            sock.bind(("127.0.0.1", 0))
+        return [Address(*sock.getsockname()) for sock in sockets]
+    finally:
+        for sock in sockets:
+            sock.close()
+
+
+def settings(store_port, callers, admin, peer, **changes):
+    options = {
+        "instance": "gateway-1",
+        "failure_domain": "zone-a",
+        "region": "region-a",
+        "regions": {"zone-a": "region-a"},
+        "callers_address": callers,
+        "admin_address": admin,
+        "store_address": Address("127.0.0.1", store_port),
+        "peer_address": peer,
+        "seed_addresses": (),
+        "grace_s": 5.0,
+        "retry_ratio": 1.0,
+        "retry_stock": 100.0,
+        "retry_window_s": 10.0,
+        "quota_tolerance": QuotaTolerance(8.0, 0.0, 0.0),
+        **changes,
+    }
+    return GatewaySettings(**options)
+
+
+@asynccontextmanager
+async def gateway_rig(engines=2, desks=2, config=None, clock=None, **changes):
+    """Run a gateway that is ready, with its store and upstreams."""
+    store = PlatformStore()
+    await store.http.start()
+    rig = Rig(store)
+    store.put("keyed.op", "config", config or configuration())
+    for number in range(engines):
+        await rig.add_upstream(f"engine-{number}", "engines")
+    for number in range(desks):
+        await rig.add_upstream(f"desk-{number}", "desk")
+    rig.address, rig.admin_address, peer = free_addresses(3)
+    rig.gateway = Gateway(
+        settings(store.http.port, rig.address, rig.admin_address, peer, **changes),
+        clock or SystemClock(),
+        make_platform_link,
+    )
+    rig.running = asyncio.ensure_future(rig.gateway.run())
+    try:
+        while not rig.gateway.is_listening:
+            await asyncio.sleep(0)
+            if rig.running.done():
+                rig.running.result()
+        await rig.until_ready()
+        yield rig
+    finally:
+        rig.running.cancel()
+        await asyncio.gather(rig.running, return_exceptions=True)
+        await store.http.stop()
+        for upstream in rig.upstreams.values():
+            await upstream.http.stop()
--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,276 @@
+"""The gateway keeps its promises to callers and upstreams, end to end."""
+
+import asyncio
+
+import pytest
+from platform_rig import configuration, gateway_rig, open_caller, route
+
+from standins.platform import UpstreamFault
+
+TOKENS = "100,40"
+
+
+def events(first, last):
+    return b"".join(
+        f"id: {n}\ndata: token {n}\n\n".encode() for n in range(first, last + 1)
+    )
+
+
+async def test_a_request_reaches_the_upstream_with_its_headers_translated():
+    async with gateway_rig() as rig:
+        answer = await rig.call(
+            "/orders/2?copies=3",
+            body=b"order",
+            headers=[
+                ("X-Tenant", "forged"),
+                ("X-Hold", "forged"),
+                ("Connection", "x-mine"),
+                ("X-Mine", "1"),
+                ("X-Kept", "2"),
+            ],
+        )
+        (call,) = rig.ran
+    assert (answer.status, answer.body) == (200, b"done order")
+    assert answer.headers["x-response-seal"].startswith("seal.desk-")
+    assert (call.method, call.target) == ("POST", "/orders/2?copies=3")
+    assert call.headers["x-tenant"] == "club"
+    assert call.headers["x-attempt-id"] == "r1"
+    assert call.headers["x-kept"] == "2"
+    assert call.headers["x-expect-instance"].startswith("desk-")
+    assert 0 < int(call.headers["x-deadline-ms"]) <= 4000
+    assert not {"api-key", "x-hold", "x-mine"} & call.headers.keys()
+
+
+@pytest.mark.parametrize(
+    ("target", "key", "status"),
+    [
+        ("/nowhere/", "key-of-club", 404),
+        ("/orders", "key-of-club", 404),
+        ("/orders/", "wrong", 401),
+        ("/orders/", None, 401),
+    ],
+)
+async def test_what_no_configuration_allows_is_refused(target, key, status):
+    async with gateway_rig() as rig:
+        answer = await rig.call(target, key=key)
+        assert answer.status == status
+        assert rig.ran == []
+
+
+# fault, route, tokens, status, runs: what the caller gets and the upstreams see.
+ENDS = [
+    (UpstreamFault.NONE, "orders", None, 200, 1),
+    (UpstreamFault.SHEDS, "orders", None, 503, 0),
+    (UpstreamFault.ERRORS, "orders", None, 500, 1),
+    (UpstreamFault.ERRORS, "lookups", None, 500, 2),
+    (UpstreamFault.CUTS, "orders", None, 502, 1),
+    (UpstreamFault.CUTS, "lookups", None, 502, 2),
+    (UpstreamFault.LOSES_ANSWER, "orders", None, 502, 1),
+    (UpstreamFault.LOSES_ANSWER, "lookups", None, 502, 2),
+    (UpstreamFault.GARBAGE, "orders", None, 502, 1),
+    (UpstreamFault.UNMARKED, "orders", None, 502, 1),
+    (UpstreamFault.UNMARKED, "lookups", None, 502, 2),
+    (UpstreamFault.LOSES_ANSWER, "drafts", TOKENS, 502, 1),
+    (UpstreamFault.LOSES_ANSWER, "resumes", TOKENS, 502, 2),
+    (UpstreamFault.UNFRAMED, "drafts", TOKENS, 200, 1),
+]
+
+
+@pytest.mark.parametrize(("fault", "name", "tokens", "status", "n_runs"), ENDS)
+async def test_the_caller_learns_the_truth_and_nothing_runs_too_often(
+    fault, name, tokens, status, n_runs
+):
+    async with gateway_rig() as rig:
+        for upstream in rig.upstreams.values():
+            upstream.fault = fault
+        answer = await rig.call(f"/{name}/1", tokens=tokens)
+        assert (answer.status, answer.is_complete) == (status, True)
+        assert len(rig.ran) == n_runs
+        assert len({call.headers["x-expect-instance"] for call in rig.ran}) == n_runs
+    if status == 503:
+        assert 0 <= float(answer.headers["retry-after"]) <= 4 / 3
+
+
+@pytest.mark.parametrize("fault", [UpstreamFault.CUTS, UpstreamFault.ENDS_EARLY])
+async def test_a_stream_that_breaks_off_never_looks_complete(fault):
+    async with gateway_rig() as rig:
+        for upstream in rig.upstreams.values():
+            upstream.fault = fault
+        answer = await rig.call("/drafts/1", tokens=TOKENS)
+        assert answer.status == 200
+        assert not answer.is_complete
+        assert events(1, 4).startswith(answer.body)
+        assert len(rig.ran) == 1
+
+
+@pytest.mark.parametrize("fault", [UpstreamFault.CUTS, UpstreamFault.ENDS_EARLY])
+async def test_another_upstream_continues_a_stream_that_may_be_resumed(fault):
+    async with gateway_rig(engines=1) as rig:
+        rig.upstreams["engine-0"].fault = fault
+        caller = await open_caller(rig.address)
+        caller.send("/resumes/1", tokens=TOKENS)
+        while not rig.upstreams["engine-0"].ran:
+            await asyncio.sleep(0)
+        await rig.add_upstream("engine-1", "engines")
+        answer = await caller.answer()
+        caller.writer.close()
+        assert (answer.status, answer.is_complete) == (200, True)
+        assert answer.body == events(1, 4)
+        assert answer.headers["x-response-seal"] == "seal.engine-0"
+        (rest,) = rig.upstreams["engine-1"].ran
+        assert int(rest.headers["last-event-id"]) >= 1
+
+
+async def test_a_late_response_to_another_request_reaches_nobody():
+    async with gateway_rig(desks=1) as rig:
+        rig.upstreams["desk-0"].fault = UpstreamFault.EXTRA
+        answers = [
+            await rig.call("/lookups/", body=f"{n}".encode(), request_id=f"r{n}")
+            for n in range(4)
+        ]
+    assert [answer.body for answer in answers] == [b"done %d" % n for n in range(4)]
+
+
+@pytest.mark.parametrize("name", ["orders", "lookups", "drafts"])
+async def test_a_caller_that_leaves_stops_the_work_at_the_upstream(name):
+    async with gateway_rig() as rig:
+        for upstream in rig.upstreams.values():
+            upstream.fault = UpstreamFault.MUTE
+        caller = await open_caller(rig.address)
+        caller.send(f"/{name}/", tokens=TOKENS)
+        while not rig.ran:
+            await asyncio.sleep(0)
+        caller.writer.close()
+        async with asyncio.timeout(30):
+            while not sum(u.n_left for u in rig.upstreams.values()):
+                await asyncio.sleep(0)
+        assert len(rig.ran) == 1
+
+
+async def test_a_caller_that_leaves_while_it_waits_is_never_sent():
+    async with gateway_rig(engines=1) as rig:
+        engine = rig.upstreams["engine-0"]
+        engine.may_go_on.clear()
+        running = [await open_caller(rig.address) for _ in range(4)]
+        for caller in running:
+            caller.send("/drafts/", tokens=TOKENS)
+        while len(engine.ran) < 4:
+            await asyncio.sleep(0)
+        waiting = await open_caller(rig.address)
+        waiting.send("/drafts/", tokens=TOKENS, request_id="left")
+        while rig.gateway.n_waiting < 1:
+            await asyncio.sleep(0)
+        waiting.writer.close()
+        while rig.gateway.n_waiting:
+            await asyncio.sleep(0)
+        engine.may_go_on.set()
+        for caller in running:
+            assert (await caller.answer()).is_complete
+            caller.writer.close()
+        assert "left" not in [call.headers["x-attempt-id"] for call in engine.ran]
+
+
+async def test_a_leaving_upstream_gets_no_new_request():
+    async with gateway_rig(desks=2) as rig:
+        leaving = rig.upstreams["desk-0"]
+        rig.store.put("keyed.servers", "desk-0", leaving.listing(state="draining"))
+        while not rig.gateway.is_leaving("desk-0"):
+            await asyncio.sleep(0.01)
+        for n in range(6):
+            assert (await rig.call("/lookups/", request_id=f"r{n}")).status == 200
+        assert leaving.ran == []
+
+
+async def test_an_address_that_belongs_to_another_upstream_runs_nothing():
+    async with gateway_rig(desks=2) as rig:
+        rig.upstreams["desk-0"].upstream_id = "someone-else"
+        for n in range(4):
+            assert (await rig.call("/orders/", request_id=f"r{n}")).status == 200
+        assert rig.upstreams["desk-0"].ran == []
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"routes": [route("lookups", kind="idempotent", service="desk")]},
+        {"tenants": [{"name": "club", "api_keys": ["another"]}]},
+    ],
+    ids=["route removed", "key removed"],
+)
+async def test_a_new_configuration_is_in_force_and_never_goes_back(change):
+    async with gateway_rig() as rig:
+        assert (await rig.call("/orders/")).status == 200
+        rig.put_configuration(version=5, **change)
+        while rig.gateway.configuration_version != 5:
+            await asyncio.sleep(0.01)
+        refused = (await rig.call("/orders/")).status
+        rig.put_configuration(version=4)
+        rig.put_configuration(version=6, **change)
+        while rig.gateway.configuration_version != 6:
+            await asyncio.sleep(0.01)
+        assert refused in (401, 404)
+        assert (await rig.call("/orders/")).status == refused
+
+
+async def test_deleted_history_and_unusable_records_change_nothing():
+    async with gateway_rig() as rig:
+        rig.store.put("keyed.servers", "desk-9", b"\xff\x00 no entry")
+        rig.store.put("keyed.servers", "desk-8", {"service": 7})
+        rig.store.delete_history("keyed.servers")
+        rig.store.delete_history("keyed.op")
+        rig.put_configuration(version=9)
+        while rig.gateway.configuration_version != 9:
+            await asyncio.sleep(0.01)
+        assert (await rig.call("/orders/")).status == 200
+
+
+async def test_callers_are_served_while_the_store_is_away():
+    async with gateway_rig() as rig:
+        rig.store.is_down = True
+        calls = rig.store.n_calls
+        while rig.store.n_calls < calls + 2:
+            await asyncio.sleep(0.01)
+        assert (await rig.call("/orders/")).status == 200
+        assert await rig.readiness() == 200
+
+
+async def test_a_quota_counts_tokens_and_refuses_with_a_time_to_come_back():
+    tenants = [
+        {
+            "name": "club",
+            "api_keys": ["key-of-club"],
+            "unit": "token_count",
+            "plain_tokens": 200,
+            "rate_per_s": 100,
+            "burst": 200,
+        }
+    ]
+    async with gateway_rig(config=configuration(tenants=tenants)) as rig:
+        statuses = [
+            (await rig.call("/drafts/", tokens="1000,40", request_id=f"r{n}"))
+            for n in range(3)
+        ]
+        assert statuses[-1].status == 429
+        assert 0 < float(statuses[-1].headers["retry-after"]) <= 4 / 3
+        assert len(rig.ran) < 3
+
+
+async def test_a_stop_finishes_what_is_open_and_refuses_readiness():
+    async with gateway_rig(engines=1, grace_s=30.0) as rig:
+        engine = rig.upstreams["engine-0"]
+        engine.may_go_on.clear()
+        caller = await open_caller(rig.address)
+        caller.send("/drafts/", tokens=TOKENS)
+        while not engine.ran:
+            await asyncio.sleep(0)
+        rig.gateway.stop()
+        assert await rig.readiness() == 503
+        late = await open_caller(rig.address)
+        late.send("/lookups/")
+        answer = await late.answer()
+        assert (answer.status, answer.headers["connection"]) == (200, "close")
+        engine.may_go_on.set()
+        answer = await caller.answer()
+        assert answer.is_complete
+        assert answer.body == events(1, 4)
+        assert await rig.running == 0
--- /dev/null
+++ b/tools/standins/platform.py
@@ -0,0 +1,428 @@
+"""Stand-ins of the users' platform: its store and its upstreams.
+
+They follow the platform's published protocol as far as the gateway uses it, and
+have switches for the faults that it names.
+"""
+
+import asyncio
+import base64
+import socket
+import struct
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any
+
+import h11
+import msgspec
+
+_LENGTH = struct.Struct(">I")
+_BOUNDS = struct.Struct(">QQ")
+_READ_BYTES = 65_536
+_NO_LINGER = struct.pack("ii", 1, 0)
+
+Handle = Callable[["Call"], Awaitable[None]]
+
+
+@dataclass(slots=True)
+class Call:
+    """One request that a stand-in has read."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    protocol: h11.Connection
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+
+    async def send(self, *events: h11.Event) -> None:
+        """Send parts of the response."""
+        for event in events:
+            self.writer.write(self.protocol.send(event) or b"")
+        await self.writer.drain()
+
+    async def respond(
+        self, status: int, body: bytes = b"", headers: dict[str, str] | None = None
+    ) -> None:
+        """Send a whole response."""
+        lines = {"content-length": str(len(body)), **(headers or {})}
+        await self.send(
+            h11.Response(status_code=status, headers=list(lines.items())),
+            h11.Data(data=body),
+            h11.EndOfMessage(),
+        )
+
+    def reset(self) -> None:
+        """Close with a reset instead of an end."""
+        sock = self.writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+        self.writer.transport.abort()
+
+
+class HttpStandIn:
+    """Serves calls on a port of the loopback interface.
+
+    Parameters
+    ----------
+    handle : callable
+        Answers one call.
+    """
+
+    def __init__(self, handle: Handle) -> None:
+        self._handle = handle
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.port = 0
+
+    async def start(self, port: int = 0) -> None:
+        """Listen; port 0 lets the kernel choose."""
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", port)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def stop_listening(self) -> None:
+        """Refuse new connections."""
+        if self._server is not None:
+            self._server.close()
+
+    async def stop(self) -> None:
+        """Close the port and all connections."""
+        self.stop_listening()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.ensure_future(self._serve(reader, writer))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        protocol = h11.Connection(h11.SERVER)
+        try:
+            while (call := await _read_call(protocol, reader, writer)) is not None:
+                await self._handle(call)
+                if writer.is_closing() or protocol.our_state is not h11.DONE:
+                    return
+                protocol.start_next_cycle()
+        except (ConnectionError, h11.ProtocolError):
+            # A caller that breaks off is part of the tests.
+            return
+        finally:
+            writer.close()
+
+
+async def _read_call(
+    protocol: h11.Connection,
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+) -> Call | None:
+    head: h11.Request | None = None
+    body = bytearray()
+    while True:
+        event = protocol.next_event()
+        if event is h11.NEED_DATA:
+            protocol.receive_data(await reader.read(_READ_BYTES))
+        elif isinstance(event, h11.Request):
+            head = event
+        elif isinstance(event, h11.Data):
+            body += event.data
+        elif isinstance(event, h11.EndOfMessage) and head is not None:
+            headers = {k.decode(): v.decode("latin-1") for k, v in head.headers}
+            method, target = head.method.decode(), head.target.decode("latin-1")
+            return Call(method, target, headers, bytes(body), protocol, reader, writer)
+        else:
+            return None
+
+
+@dataclass(slots=True)
+class Topic:
+    """Records of one topic with a single partition."""
+
+    records: list[bytes] = field(default_factory=list)
+    n_deleted: int = 0
+    newest: dict[str, tuple[bytes, int]] = field(default_factory=dict)
+
+    @property
+    def end(self) -> int:
+        """Offset of the next record."""
+        return self.n_deleted + len(self.records)
+
+
+class PlatformStore:
+    """The platform's store: a log with topics.
+
+    Attributes
+    ----------
+    is_down : bool
+        Calls are answered 503.
+    is_silent : bool
+        Calls get no answer.
+    loses_answers : bool
+        Appends are done, and their connections are reset.
+    n_calls : int
+        Calls so far.
+    """
+
+    def __init__(self) -> None:
+        self._topics: dict[str, Topic] = {}
+        self._changed = asyncio.Event()
+        self.is_down = False
+        self.is_silent = False
+        self.loses_answers = False
+        self.n_calls = 0
+        self.http = HttpStandIn(self._handle)
+
+    def put(self, topic: str, key: str, value: object) -> None:
+        """Write a keyed record; None removes the key."""
+        data = value if isinstance(value, bytes) else msgspec.json.encode(value)
+        name = key.encode()
+        self._append(
+            topic, bytes((len(name),)) + name + (b"" if value is None else data)
+        )
+
+    def delete_history(self, topic: str) -> None:
+        """Delete all records; the newest of each key is kept."""
+        held = self._topics.setdefault(topic, Topic())
+        held.n_deleted = held.end
+        held.records.clear()
+
+    def _append(self, topic: str, content: bytes) -> int:
+        held = self._topics.setdefault(topic, Topic())
+        offset = held.end
+        held.records.append(content)
+        if topic.startswith("keyed."):
+            key = content[1 : 1 + content[0]].decode()
+            held.newest[key] = (content[1 + content[0] :], offset)
+        self._changed.set()
+        self._changed = asyncio.Event()
+        return offset
+
+    async def _handle(self, call: Call) -> None:
+        self.n_calls += 1
+        path, _, query_text = call.target.partition("?")
+        query = dict(part.split("=", 1) for part in query_text.split("&") if part)
+        if self.is_silent:
+            await asyncio.Event().wait()
+        if self.is_down:
+            await call.respond(503)
+        elif path == "/v1/log-newest":
+            await self._newest(call, query)
+        elif path == "/v1/log-read":
+            await self._read(call, query)
+        elif path == "/v1/log-append":
+            await self._append_call(call, query)
+        else:
+            await call.respond(404)
+
+    async def _newest(self, call: Call, query: dict[str, str]) -> None:
+        topic = self._topics.setdefault(query["topic"], Topic())
+        items = [
+            {"key": k, "value": base64.b64encode(v).decode(), "offset": offset}
+            for k, (v, offset) in topic.newest.items()
+            if v
+        ]
+        page = {"items": items, "has_more": False, "end": topic.end}
+        await call.respond(200, msgspec.json.encode(page))
+
+    async def _read(self, call: Call, query: dict[str, str]) -> None:
+        topic = self._topics.setdefault(query["topic"], Topic())
+        offset = int(query["from"])
+        until_s = time.monotonic() + int(query.get("wait_ms", 0)) / 1000
+        while offset >= topic.end and time.monotonic() < until_s:
+            try:
+                async with asyncio.timeout(until_s - time.monotonic()):
+                    await self._changed.wait()
+            except TimeoutError:
+                # Nothing has come in the time that the caller asked for.
+                break
+        if offset < topic.n_deleted:
+            await call.respond(410, msgspec.json.encode({"first": topic.n_deleted}))
+            return
+        body = _BOUNDS.pack(topic.end, topic.n_deleted)
+        for record in topic.records[offset - topic.n_deleted :]:
+            body += _LENGTH.pack(len(record)) + record
+        await call.respond(200, body)
+
+    async def _append_call(self, call: Call, query: dict[str, str]) -> None:
+        body, position, offset = call.body, 0, 0
+        while position < len(body):
+            (n_bytes,) = _LENGTH.unpack_from(body, position)
+            position += _LENGTH.size
+            offset = self._append(query["topic"], body[position : position + n_bytes])
+            position += n_bytes
+        if self.loses_answers:
+            call.reset()
+            return
+        answer = {"offset": offset, "end": offset + 1}
+        await call.respond(200, msgspec.json.encode(answer))
+
+
+class UpstreamFault(Enum):
+    """What an upstream does wrong."""
+
+    NONE = "none"
+    SHEDS = "503 with the statement that it has not run the request"
+    ERRORS = "500 of its own"
+    CUTS = "resets the connection in the middle of the body"
+    ENDS_EARLY = "closes a body without framing in the middle of an event"
+    LOSES_ANSWER = "runs the request and resets the connection"
+    MUTE = "never answers"
+    GARBAGE = "sends bytes that are no response"
+    EXTRA = "sends a second response after the first"
+    UNFRAMED = "sends a whole body without framing"
+    UNMARKED = "sends a response without its mark"
+    CRASHES = "stops listening as it begins to run the request"
+
+
+class PlatformUpstream:
+    """One upstream that runs requests at once.
+
+    Parameters
+    ----------
+    upstream_id : str
+        Name of this incarnation.
+    service : str
+        Service that it belongs to.
+    n_events : int
+        Events of a stream.
+    event_s : float
+        Pause before each event, in seconds.
+    """
+
+    def __init__(
+        self,
+        upstream_id: str,
+        service: str,
+        n_events: int = 4,
+        event_s: float = 0.0,
+    ) -> None:
+        self.upstream_id = upstream_id
+        self.service = service
+        self.n_events = n_events
+        self.event_s = event_s
+        self.fault = UpstreamFault.NONE
+        self.ran: list[Call] = []
+        self.n_left = 0
+        self.may_go_on = asyncio.Event()
+        self.may_go_on.set()
+        self.http = HttpStandIn(self._handle)
+
+    def listing(self, state: str = "ready", slots: int = 4) -> dict[str, Any]:
+        """Return its entry in the store."""
+        return {
+            "service": self.service,
+            "address": f"127.0.0.1:{self.http.port}",
+            "zone": "zone-a",
+            "version": "v1",
+            "slots": slots,
+            "state": state,
+            "cold_left_ms": 0,
+            "seq": 1,
+            "born": 1_700_000_000_000,
+        }
+
+    async def _handle(self, call: Call) -> None:
+        expected = call.headers.get("x-expect-instance")
+        if expected not in (None, self.upstream_id):
+            await call.respond(421, headers={"X-Instance-Id": self.upstream_id})
+            return
+        if self.fault is UpstreamFault.SHEDS:
+            await call.respond(503, headers={"X-Not-Executed": "1"})
+            return
+        self.ran.append(call)
+        await self._run(call)
+
+    async def _run(self, call: Call) -> None:
+        marks = {
+            "X-Attempt-Id": call.headers.get("x-attempt-id", ""),
+            "X-Response-Seal": f"seal.{self.upstream_id}",
+        }
+        match self.fault:
+            case UpstreamFault.ERRORS:
+                await call.respond(500, b"failed", marks)
+            case UpstreamFault.LOSES_ANSWER:
+                call.reset()
+            case UpstreamFault.CRASHES:
+                call.reset()
+                self.http.stop_listening()
+            case UpstreamFault.MUTE:
+                await self._until_caller_leaves(call)
+            case UpstreamFault.GARBAGE:
+                call.writer.write(b"\x00\x01 no response\r\n\r\n")
+                call.writer.close()
+            case UpstreamFault.UNMARKED:
+                await call.respond(200, b"whose?")
+            case _ if "x-token-usage" in call.headers:
+                await self._stream(call, marks)
+            case UpstreamFault.CUTS:
+                head = {"content-length": "100", **marks}
+                await call.send(
+                    h11.Response(status_code=200, headers=list(head.items())),
+                    h11.Data(data=b"a part"),
+                )
+                call.reset()
+            case _:
+                await self.may_go_on.wait()
+                await call.respond(200, b"done " + call.body, marks)
+                if self.fault is UpstreamFault.EXTRA:
+                    call.writer.write(_late_response())
+
+    async def _stream(self, call: Call, marks: dict[str, str]) -> None:
+        is_framed = self.fault not in (
+            UpstreamFault.UNFRAMED,
+            UpstreamFault.ENDS_EARLY,
+        )
+        headers = {"content-type": "text/event-stream", **marks}
+        if is_framed:
+            headers["transfer-encoding"] = "chunked"
+            await call.send(
+                h11.Response(status_code=200, headers=list(headers.items()))
+            )
+        else:
+            lines = "".join(f"{k}: {v}\r\n" for k, v in headers.items())
+            call.writer.write(f"HTTP/1.1 200 OK\r\n{lines}\r\n".encode())
+        first = int(call.headers.get("last-event-id", "0")) + 1
+        for number in range(first, self.n_events + 1):
+            await asyncio.sleep(self.event_s)
+            await self.may_go_on.wait()
+            event = f"id: {number}\ndata: token {number}\n\n".encode()
+            is_broken = number == (first + self.n_events + 1) // 2
+            if is_broken and self.fault is UpstreamFault.CUTS:
+                await call.send(h11.Data(data=event[:5]))
+                call.reset()
+                return
+            if is_broken and self.fault is UpstreamFault.ENDS_EARLY:
+                call.writer.write(event[:5])
+                call.writer.close()
+                return
+            if is_framed:
+                await call.send(h11.Data(data=event))
+            else:
+                call.writer.write(event)
+        if is_framed:
+            await call.send(h11.EndOfMessage())
+        else:
+            call.writer.close()
+
+    async def _until_caller_leaves(self, call: Call) -> None:
+        try:
+            while await call.reader.read(_READ_BYTES):
+                pass
+        except ConnectionError:
+            # A reset is a way to leave, too.
+            pass
+        self.n_left += 1
+        call.writer.close()
+
+
+def _late_response() -> bytes:
+    return (
+        b"HTTP/1.1 200 OK\r\nX-Attempt-Id: another\r\n"
+        b"X-Response-Seal: seal.other\r\nContent-Length: 6\r\n\r\nothers"
+    )
