Stop requests that crash upstreams, write logs without waiting, count in metrics

A cut connection whose upstream then refuses connections counts as a crash of what ran there; after three under one fingerprint a request is refused. Peers are told at once, and the store keeps it for processes that start later. Log lines go through a thread with a bounded queue; counters and latencies are served beside readiness and at the metrics port.

Found by the tests: a closing log handler lost the lines that waited while the reader had stalled; a refused crasher was answered 422, which the platform counts as a wrong refusal.

--- a/src/pomelothread/events.py
+++ b/src/pomelothread/events.py
@@ -260,6 +260,18 @@
         logging.WARNING,
         "configuration %(configuration_version)s ignored: %(detail)s",
     )
+    CRASH_COUNTED = (
+        815,
+        logging.ERROR,
+        "upstream %(upstream)s crashed while it ran request body %(fingerprint)s, "
+        "crash %(n_crashes)s of it; refused from now on: %(refused)s",
+    )
+    CRASH_NOT_STORED = (
+        816,
+        logging.WARNING,
+        "crash of request body %(fingerprint)s could not be written to the store; "
+        "only running gateways know of it",
+    )
     FEED_LOST = (830, logging.WARNING, "store does not answer for %(feed)s")
     FEED_BACK = (
         831,
@@ -415,7 +427,10 @@
 
 
 def setup_logging(
-    settings: LoggingSettings, instance: str, stream: TextIO | None = None
+    settings: LoggingSettings,
+    instance: str,
+    stream: TextIO | None = None,
+    handler: logging.Handler | None = None,
 ) -> None:
     """Send all records of the process to one stream.
 
@@ -427,8 +442,10 @@
         Name of the instance.
     stream : TextIO or None
         Where lines go; stderr by default.
+    handler : logging.Handler or None
+        Writes the lines instead.
     """
-    handler = logging.StreamHandler(stream or sys.stderr)
+    handler = handler or logging.StreamHandler(stream or sys.stderr)
     handler.setFormatter(
         JsonFormatter(instance)
         if settings.format == "json"
--- a/src/pomelothread/gateway/attempt.py
+++ b/src/pomelothread/gateway/attempt.py
@@ -91,6 +91,7 @@
         "_queue",
         "_responder",
         "_sent_s",
+        "first_event_s",
         "has_first_event",
         "held_failure",
         "status",
@@ -116,6 +117,7 @@
         self._clock = clock
         self._sent_s = 0.0
         self.has_first_event = False
+        self.first_event_s: float | None = None
         self.held_failure: HeldFailure | None = None
         self.status = 0
         self.was_sent = False
@@ -158,7 +160,7 @@
         if head is None:
             return Broken(job.first_head is not None, "silent before the response")
         if isinstance(head, ExchangeFault):
-            return Broken(job.first_head is not None, head.value)
+            return _broken_by(head, job.first_head is not None)
         self.status = head.status
         facts = self._dialect.read_response(head)
         if facts.was_not_run:
@@ -174,7 +176,7 @@
     async def _hold_failure(self, exchange: Exchange, head: ResponseHead) -> AttemptEnd:
         body = await self._read_held(exchange)
         if not isinstance(body, bytes):
-            return Broken(self._job.first_head is not None, body.value)
+            return _broken_by(body, self._job.first_head is not None)
         if self._job.first_head is not None:
             return Broken(True, f"status {head.status} for the rest of a stream")
         headers = tuple(end_to_end(head.headers))
@@ -184,7 +186,7 @@
     async def _relay_body(self, exchange: Exchange, head: ResponseHead) -> AttemptEnd:
         body = await self._read_held(exchange)
         if isinstance(body, ExchangeFault):
-            return Broken(False, body.value)
+            return _broken_by(body, False)
         headers = tuple(end_to_end(head.headers))
         if exchange.is_complete:
             self._responder.respond(head.status, headers, body)
@@ -200,7 +202,7 @@
                     self._responder.finish()
                     return Delivered()
                 case ExchangeFault():
-                    return Broken(True, part.value)
+                    return _broken_by(part, True)
 
     async def _relay_events(self, exchange: Exchange, head: ResponseHead) -> AttemptEnd:
         job, speed = self._job, self._lease.upstream.speed
@@ -213,7 +215,7 @@
                 case None:
                     return Broken(job.first_head is not None, "silent in the stream")
                 case ExchangeFault():
-                    return Broken(job.first_head is not None, part.value)
+                    return _broken_by(part, job.first_head is not None)
                 case EndOfBody():
                     return self._finish_stream(splitter, head)
                 case bytes():
@@ -250,10 +252,11 @@
 
     def _note_first_event(self, now_s: float) -> None:
         self.has_first_event = True
+        self.first_event_s = now_s - self._sent_s
         lease = self._lease
         n_tokens = lease.n_prompt_tokens + lease.n_pending_tokens
         lease.upstream.speed.observe_first(
-            now_s - self._sent_s, nominal_first_event_s(n_tokens)
+            self.first_event_s, nominal_first_event_s(n_tokens)
         )
         self._queue.note_first_event(lease)
 
@@ -285,6 +288,10 @@
         return bytes(body)
 
 
+def _broken_by(fault: ExchangeFault, has_begun: bool) -> Broken:
+    return Broken(has_begun, fault.value, was_cut=fault is ExchangeFault.CUT)
+
+
 async def _within(reading: Coroutine[Any, Any, T], limit_s: float | None) -> T | None:
     """Return what is read, or None if it takes longer than the limit."""
     if limit_s is None:
--- a/src/pomelothread/gateway/forwarding.py
+++ b/src/pomelothread/gateway/forwarding.py
@@ -8,10 +8,11 @@
 
 from ..clock import Clock
 from ..events import Event, log_event
-from ..http1.client import ConnectionPool
+from ..http1.client import ConnectionPool, ExchangeFault
 from ..http1.messages import Request
 from ..http1.server import Responder
 from ..outcomes import NotKnown, NotRun, Reason
+from ..policy.crash_guard import CrashGuard, fingerprint
 from ..policy.quotas import QuotaBook
 from ..policy.repeats import (
     AnswerNotKnown,
@@ -40,10 +41,13 @@
 )
 from .attempt import Attempt
 from .configuration import Configuration, Organisation, Route
+from .crashes import CrashBook
 from .dialect import CallerFacts, Dialect
 from .jobs import Job
+from .metrics import GatewayMetrics
 from .queue import Lease, NoSlot, UpstreamQueue
 from .state import GatewayState
+from .upstreams import UpstreamListing
 
 _log = logging.getLogger(__name__)
 
@@ -51,6 +55,8 @@
 ANSWER_MARGIN_S = 0.02
 # When to come back after a refusal that has nothing to do with load.
 SOON_S = 0.3
+# When to come back with a request that crashes upstreams.
+CRASHER_RETRY_S = 60.0
 
 
 class Forwarder:
@@ -68,6 +74,12 @@
         Where requests wait.
     quotas : QuotaBook
         Quotas of organisations.
+    metrics : GatewayMetrics
+        Counts what happens.
+    crash_guard : CrashGuard
+        Tells which requests crash upstreams.
+    crashes : CrashBook
+        Learns of upstreams that do not listen.
     clock : Clock
         Source of time.
     random_source : random.Random
@@ -81,6 +93,9 @@
         pool: ConnectionPool,
         queue: UpstreamQueue,
         quotas: QuotaBook,
+        metrics: GatewayMetrics,
+        crash_guard: CrashGuard,
+        crashes: CrashBook,
         clock: Clock,
         random_source: random.Random,
     ) -> None:
@@ -89,6 +104,10 @@
         self._pool = pool
         self._queue = queue
         self._quotas = quotas
+        self._metrics = metrics
+        self._crash_guard = crash_guard
+        self._crashes = crashes
+        self.n_checks = 0
         self._clock = clock
         self._random = random_source
 
@@ -122,6 +141,14 @@
             return Failure(NotRun(Reason.UNAUTHORISED))
         if facts.request_id is None:
             return Failure(NotRun(Reason.MALFORMED_BODY, "the request has no id"))
+        print_ = fingerprint(
+            request.method,
+            request.target,
+            request.body,
+            organisation.name if organisation else "",
+        )
+        if self._crash_guard.is_refused(print_):
+            return Failure(NotRun(Reason.CONVICTED, retry_after_s=CRASHER_RETRY_S))
         if self._state.refuses_new:
             return Failure(NotRun(Reason.SHUTTING_DOWN, retry_after_s=SOON_S))
         if organisation is not None:
@@ -129,7 +156,7 @@
             if not self._quotas.try_take(organisation.name, units, arrived_s):
                 return Failure(self._over_quota(organisation, facts, arrived_s))
         job = self._make_job(
-            request, facts, arrived_s, configuration, route, organisation
+            request, facts, arrived_s, configuration, route, organisation, print_
         )
         self._state.retry_budget(job.service).earn()
         return Success(job)
@@ -152,6 +179,7 @@
         configuration: Configuration,
         route: Route,
         organisation: Organisation | None,
+        print_: str,
     ) -> Job:
         destinations = route.destinations
         service = self._random.choices(
@@ -179,6 +207,7 @@
             organisation,
             waiting,
             configuration.version,
+            print_,
             last_event_id=facts.last_event_id,
         )
 
@@ -227,6 +256,9 @@
                     lease.upstream.health.observe_cancelled()
             if isinstance(end, Declined):
                 job.may_have_run = could_have_run
+            self._metrics.note_attempt(
+                job.service, type(end).__name__, attempt.first_event_s
+            )
             self._note_health(lease, end, sent_s, job)
             step = self._next_step(job, end)
             if not isinstance(end, Delivered):
@@ -335,6 +367,7 @@
         job: Job | None,
     ) -> None:
         responder.respond(*self._dialect.refusal(refusal, facts.request_id))
+        self._metrics.note_refusal(refusal.reason.name)
         configuration = self._state.configuration
         log_event(
             _log,
@@ -359,7 +392,13 @@
                     upstream.speed.observe_response(now_s - sent_s)
                 return
             case Unsent():
+                self._crashes.note_refused_connection(
+                    upstream.listing.upstream_id, now_s
+                )
                 rests = upstream.health.observe_failure(now_s, is_certain=True)
+            case Broken(was_cut=True):
+                self._note_cut(job, lease, now_s)
+                rests = upstream.health.observe_failure(now_s)
             case Declined() | FailedResponse() | Broken():
                 rests = upstream.health.observe_failure(now_s)
         if not rests:
@@ -372,8 +411,28 @@
             n_failures=upstream.health.n_failures_in_row,
         )
 
+    def _note_cut(self, job: Job, lease: Lease, now_s: float) -> None:
+        """Find out whether an upstream has crashed or only lost a connection."""
+        listing = lease.upstream.listing
+        self._crash_guard.note_cut(job.fingerprint, listing.upstream_id, now_s)
+        self._state.start(self._check_listens(listing))
+
+    async def _check_listens(self, listing: UpstreamListing) -> None:
+        # The connection takes the place of the one that was lost.
+        self.n_checks += 1
+        try:
+            connection = await self._pool.connect(listing.address)
+        finally:
+            self.n_checks -= 1
+        if isinstance(connection, ExchangeFault):
+            now_s = self._clock.monotonic_s()
+            self._crashes.note_refused_connection(listing.upstream_id, now_s)
+            return
+        self._pool.release(listing.address, connection)
+
     def _log_sent(self, job: Job, lease: Lease) -> None:
         now_s, upstream = self._clock.monotonic_s(), lease.upstream
+        self._metrics.note_sent(job.service, now_s - job.waiting.arrived_s)
         log_event(
             _log,
             Event.REQUEST_SENT,
@@ -411,6 +470,7 @@
         )
 
     def _note_end(self, job: Job, outcome: str) -> None:
+        self._metrics.note_end(job, outcome)
         log_event(
             _log,
             Event.REQUEST_ENDED,
--- a/src/pomelothread/gateway/jobs.py
+++ b/src/pomelothread/gateway/jobs.py
@@ -28,6 +28,8 @@
         Tier, arrival, aim and deadline on the monotonic clock.
     configuration_version : int
         In force when it arrived.
+    fingerprint : str
+        Identifies the request if it comes again.
     tried : set of str
         Upstreams that it has been sent to.
     n_sent : int
@@ -47,6 +49,7 @@
     organisation: Organisation | None
     waiting: WaitingFacts
     configuration_version: int
+    fingerprint: str
     tried: set[str] = field(default_factory=set)
     n_sent: int = 0
     may_have_run: bool = False
--- /dev/null
+++ b/src/pomelothread/gateway/metrics.py
@@ -0,0 +1,76 @@
+"""Counters and latencies of a gateway."""
+
+from ..clock import Clock
+from ..metrics import Metrics
+from .jobs import Job
+
+
+class GatewayMetrics:
+    """What a gateway counts, for the metrics address.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of monotonic time.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._metrics = Metrics(clock)
+        self._ended = self._metrics.counter(
+            "gateway_requests_total", "Admitted requests by outcome.", "outcome"
+        )
+        self._refused = self._metrics.counter(
+            "gateway_refusals_total", "Requests answered as not run.", "reason"
+        )
+        self._attempts = self._metrics.counter(
+            "gateway_attempts_total", "Attempts at upstreams by end.", "service", "end"
+        )
+        self._wait = self._metrics.histogram(
+            "gateway_wait_seconds", "Time from arrival to sending.", "service"
+        )
+        self._first = self._metrics.histogram(
+            "gateway_first_event_seconds",
+            "Time from sending to the first event.",
+            "service",
+        )
+        self._whole = self._metrics.histogram(
+            "gateway_response_seconds", "Time from arrival to the end.", "service"
+        )
+        self.waiting = self._metrics.gauge(
+            "gateway_waiting_requests", "Requests that wait for an upstream."
+        )
+        self.open = self._metrics.gauge(
+            "gateway_open_requests", "Requests that are not answered yet."
+        )
+        self.peers = self._metrics.gauge("gateway_peers", "Gateways that are heard.")
+        self.configuration = self._metrics.gauge(
+            "gateway_configuration_version", "Version of the configuration in force."
+        )
+        self.lines_dropped = self._metrics.gauge(
+            "gateway_log_lines_dropped", "Log lines that nobody read in time."
+        )
+
+    def note_end(self, job: Job, outcome: str) -> None:
+        """Count an admitted request."""
+        self._ended.labels(outcome).add()
+        took_s = self._clock.monotonic_s() - job.waiting.arrived_s
+        self._whole.labels(job.service).observe(took_s)
+
+    def note_refusal(self, reason: str) -> None:
+        """Count a request that was answered as not run."""
+        self._refused.labels(reason).add()
+
+    def note_sent(self, service: str, waited_s: float) -> None:
+        """Count an attempt that begins."""
+        self._wait.labels(service).observe(waited_s)
+
+    def note_attempt(self, service: str, end: str, first_s: float | None) -> None:
+        """Count an attempt that has ended."""
+        self._attempts.labels(service, end).add()
+        if first_s is not None:
+            self._first.labels(service).observe(first_s)
+
+    def render(self) -> bytes:
+        """Return the text exposition."""
+        return self._metrics.render()
--- a/src/pomelothread/gateway/peers.py
+++ b/src/pomelothread/gateway/peers.py
@@ -67,6 +67,8 @@
         Smallest urgency that waits, by service.
     peers : list of str
         Hosts of gateways that the sender has heard, in a beat.
+    crashes : dict of str to list of str
+        Upstreams that crashed while they ran a request, by its fingerprint.
     """
 
     incarnation: str
@@ -76,6 +78,7 @@
     used: dict[str, float] = {}
     waiting: dict[str, int] = {}
     peers: list[str] = []
+    crashes: dict[str, list[str]] = {}
 
 
 @dataclass(slots=True)
--- a/src/pomelothread/gateway/process.py
+++ b/src/pomelothread/gateway/process.py
@@ -18,8 +18,11 @@
 from ..http1.client import ConnectionPool
 from ..http1.messages import Request
 from ..http1.server import CallerConnection, Handler, Responder, ServerLimits
+from ..metrics import CONTENT_TYPE
+from ..policy.crash_guard import CrashGuard
 from ..policy.quotas import QuotaBook
 from .configuration import Configuration
+from .crashes import CRASHES_WAIT_S, Append, CrashBook
 from .dialect import Dialect
 from .feeds import (
     CONFIGURATION_WAIT_S,
@@ -30,6 +33,7 @@
 )
 from .forwarding import Forwarder
 from .listings import ListingBook
+from .metrics import GatewayMetrics
 from .peers import PeerTable
 from .queue import UpstreamQueue
 from .reports import Reporter
@@ -45,6 +49,7 @@
 # Time before SIGKILL at which what is still open is given up.
 STOP_MARGIN_S = 0.4
 HOUSEKEEPING_S = 0.5
+METRICS_PATH = b"/metrics"
 LISTEN_BACKLOG = 1_024
 
 
@@ -62,6 +67,10 @@
         Its key in the feed.
     listings : KeyedFeed
         List of upstreams.
+    crashes : KeyedFeed
+        What gateways have written of requests that crash upstreams.
+    append_crash : callable
+        Writes to that feed.
     decode_configuration : callable
         Decodes a configuration.
     decode_listing : callable
@@ -74,6 +83,8 @@
     configurations: KeyedFeed
     configuration_key: str
     listings: KeyedFeed
+    crashes: KeyedFeed
+    append_crash: Append
     decode_configuration: Callable[[bytes], Result[Configuration, str]]
     decode_listing: Callable[[KeyedRecord], UpstreamListing | None]
     readiness_path: bytes
@@ -102,11 +113,15 @@
         self._clock = clock
         self._incarnation = secrets.token_hex(4)
         self._state = GatewayState(settings)
+        self._state.start = self._start
         self._upstreams = UpstreamTable(settings.region, settings.regions)
         self._pool = ConnectionPool(clock)
         self._link = make_link(settings, ConnectionPool(clock))
         random_source = random.Random()
+        self.metrics = GatewayMetrics(clock)
         self._queue = UpstreamQueue(self._upstreams, clock, random_source)
+        self._crash_guard = CrashGuard()
+        self._crashes = CrashBook(self._crash_guard, self._link.append_crash)
         self._quotas = QuotaBook(settings.quota_tolerance, clock.monotonic_s())
         self._peers = PeerTable(settings.peer_address, clock)
         self._forwarder = Forwarder(
@@ -115,6 +130,9 @@
             self._pool,
             self._queue,
             self._quotas,
+            self.metrics,
+            self._crash_guard,
+            self._crashes,
             clock,
             random_source,
         )
@@ -123,6 +141,7 @@
             self._upstreams,
             self._queue,
             self._quotas,
+            self._crashes,
             self._peers,
             self._state,
             clock,
@@ -135,6 +154,7 @@
         self._stopping = asyncio.Event()
         self._is_ready = False
         self.is_listening = False
+        self._set_gauges()
 
     @property
     def n_waiting(self) -> int:
@@ -147,6 +167,21 @@
         configuration = self._state.configuration
         return configuration.version if configuration else None
 
+    @property
+    def n_peers(self) -> int:
+        """Gateways that are heard."""
+        return len(self._peers)
+
+    @property
+    def n_checks(self) -> int:
+        """Checks of upstreams that are under way."""
+        return self._forwarder.n_checks
+
+    def n_running_at(self, upstream_id: str) -> int:
+        """Return the requests of all gateways at an upstream."""
+        upstream = self._upstreams.get(upstream_id)
+        return upstream.n_all_running if upstream else 0
+
     def is_leaving(self, upstream_id: str) -> bool:
         """Tell whether an upstream is known to be leaving or gone."""
         upstream = self._upstreams.get(upstream_id)
@@ -181,9 +216,10 @@
             self._forwarder.handle,
             lambda: self._state.limits,
         )
-        admin = await self._listen(
-            self._settings.admin_address, self._answer_admin, ServerLimits
-        )
+        admin = [
+            await self._listen(address, self._answer_admin, ServerLimits)
+            for address in self._settings.admin_addresses
+        ]
         self.is_listening = True
         for follower in self._followers():
             self._start(follower.run())
@@ -194,14 +230,24 @@
             await self._drain(callers)
         finally:
             callers.close()
-            admin.close()
+            for server in admin:
+                server.close()
             self._reporter.link.close()
             for task in self._tasks:
                 task.cancel()
         log_event(_log, Event.GATEWAY_STOPPED, n_open=self._state.n_open)
         return 0
 
-    def _followers(self) -> tuple[Follower, Follower]:
+    def _set_gauges(self) -> None:
+        metrics = self.metrics
+        metrics.waiting.labels().set_function(lambda: self._queue.n_waiting)
+        metrics.open.labels().set_function(lambda: self._state.n_open)
+        metrics.peers.labels().set_function(lambda: len(self._peers))
+        metrics.configuration.labels().set_function(
+            lambda: self.configuration_version or 0
+        )
+
+    def _followers(self) -> tuple[Follower, ...]:
         configurations = Follower(
             "configuration",
             self._link.configurations,
@@ -221,7 +267,16 @@
             pause_s=LISTING_PAUSE_S,
         )
         self._listings.store_back_s = lambda: listings.back_s
-        return configurations, listings
+        crashes = Follower(
+            "crashes",
+            self._link.crashes,
+            self._clock,
+            apply_all=self._crashes.apply_all,
+            apply=self._crashes.apply,
+            wait_s=CRASHES_WAIT_S,
+            pause_s=0.0,
+        )
+        return configurations, listings, crashes
 
     def _apply_configurations(self, records: tuple[KeyedRecord, ...]) -> None:
         for record in records:
@@ -279,6 +334,10 @@
             status = 200 if self._check_ready() else 503
             responder.respond(status, (), b"")
             return
+        if request.target == METRICS_PATH:
+            content_type = (b"content-type", CONTENT_TYPE.encode())
+            responder.respond(200, (content_type,), self.metrics.render())
+            return
         responder.respond(404, (), b"")
 
     def _check_ready(self) -> bool:
--- a/src/pomelothread/gateway/reports.py
+++ b/src/pomelothread/gateway/reports.py
@@ -5,6 +5,7 @@
 
 from ..clock import Clock
 from ..policy.quotas import QuotaBook
+from .crashes import CrashBook
 from .peers import (
     BEAT_S,
     COALESCE_S,
@@ -32,6 +33,8 @@
         Tells what waits, and learns of free slots.
     quotas : QuotaBook
         Tells what was admitted.
+    crashes : CrashBook
+        Tells of requests that crash upstreams, and learns of them.
     peers : PeerTable
         Other gateways.
     state : GatewayState
@@ -46,6 +49,7 @@
         upstreams: UpstreamTable,
         queue: UpstreamQueue,
         quotas: QuotaBook,
+        crashes: CrashBook,
         peers: PeerTable,
         state: GatewayState,
         clock: Clock,
@@ -54,6 +58,7 @@
         self._upstreams = upstreams
         self._queue = queue
         self._quotas = quotas
+        self._crashes = crashes
         self._peers = peers
         self._state = state
         self._clock = clock
@@ -95,6 +100,7 @@
             self._last_beat_s = now_s
             loads = [LoadReport(k, *load) for k, load in current.items() if load[0]]
             hosts = [p.address.host for p in self._peers.all() if not p.is_silent]
+            crashes = self._crashes.for_beat()
         else:
             loads = [
                 LoadReport(k, *load)
@@ -102,15 +108,24 @@
                 if load != self._sent.get(k, (0, 0))
             ]
             hosts = []
+            crashes = self._crashes.take_untold()
             used = {k: v for k, v in used.items() if v != self._sent_used.get(k)}
-            if not loads and not used and waiting == self._sent_waiting:
+            is_same = not loads and not used and not crashes
+            if is_same and waiting == self._sent_waiting:
                 return None
         self._sent = current
         self._sent_used.update(used)
         self._sent_waiting = waiting
         self._sequence += 1
         return PeerMessage(
-            self._incarnation, self._sequence, is_beat, loads, used, waiting, hosts
+            self._incarnation,
+            self._sequence,
+            is_beat,
+            loads,
+            used,
+            waiting,
+            hosts,
+            crashes,
         )
 
     def on_message(self, peer: Peer, message: PeerMessage) -> None:
@@ -119,6 +134,7 @@
         self._state.last_peer_message_s = now_s
         self._state.n_gateways = len(self._peers) + 1
         self._quotas.observe_peer(peer.incarnation, message.used, now_s)
+        self._crashes.hear(message.crashes)
         if message.is_beat:
             self._refresh(self._upstreams.all())
         else:
--- a/src/pomelothread/gateway/settings.py
+++ b/src/pomelothread/gateway/settings.py
@@ -22,7 +22,7 @@
         Region of each failure domain.
     callers_address : Address
         Where callers connect.
-    admin_address : Address
+    admin_addresses : tuple of Address
         Where readiness and metrics are served.
     store_address : Address
         Of the platform's store.
@@ -47,7 +47,7 @@
     region: str
     regions: dict[str, str]
     callers_address: Address
-    admin_address: Address
+    admin_addresses: tuple[Address, ...]
     store_address: Address
     peer_address: Address
     seed_addresses: tuple[Address, ...]
--- a/src/pomelothread/gateway/state.py
+++ b/src/pomelothread/gateway/state.py
@@ -1,6 +1,8 @@
 """What all tasks of a gateway share."""
 
 import logging
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 from ..events import Event, log_event
 from ..http1.server import ServerLimits
@@ -15,6 +17,11 @@
 BUDGET_SHARE = 0.5
 
 
+def _not_started(work: Coroutine[Any, Any, None]) -> object:
+    work.close()
+    raise AssertionError("no task may start before the process does")
+
+
 class GatewayState:
     """Configuration in force, stop state and budgets of one process.
 
@@ -33,6 +40,8 @@
         self.refuses_new = False
         self.n_gateways = 1
         self.last_peer_message_s: float | None = None
+        # Set by the process, which stops if a task fails.
+        self.start: Callable[[Coroutine[Any, Any, None]], object] = _not_started
 
     @property
     def limits(self) -> ServerLimits:
--- a/src/pomelothread/http1/client.py
+++ b/src/pomelothread/http1/client.py
@@ -108,6 +108,10 @@
                 connection.is_reused = True
                 return connection
             connection.stream.close()
+        return await self.connect(address)
+
+    async def connect(self, address: Address) -> UpstreamConnection | ExchangeFault:
+        """Return a new connection, or `NOT_CONNECTED`."""
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
--- /dev/null
+++ b/src/pomelothread/log_output.py
@@ -0,0 +1,82 @@
+"""Writes log lines without ever holding up the process.
+
+Lines wait in memory for a thread of their own. When whoever reads them stalls,
+or more come than a second's worth, further lines are dropped and counted.
+"""
+
+import collections
+import logging
+import threading
+from typing import TextIO
+
+# Lines that wait at most; at 500 bytes each they take 1 MB.
+MAX_WAITING_LINES = 2_000
+# Lines are written together at this interval, which also bounds the volume to
+# `MAX_WAITING_LINES` in each.
+WRITE_INTERVAL_S = 0.2
+
+
+class QueueingHandler(logging.Handler):
+    """Hands formatted lines to a thread that writes them.
+
+    Parameters
+    ----------
+    stream : TextIO
+        Where lines go.
+    max_waiting_lines : int
+        Lines beyond this are dropped.
+
+    Attributes
+    ----------
+    n_dropped : int
+        Lines that were dropped so far.
+    """
+
+    def __init__(
+        self, stream: TextIO, max_waiting_lines: int = MAX_WAITING_LINES
+    ) -> None:
+        super().__init__()
+        self._stream = stream
+        self._max_waiting_lines = max_waiting_lines
+        self._lines: collections.deque[str] = collections.deque()
+        self._has_lines = threading.Event()
+        self._is_closed = threading.Event()
+        self.n_dropped = 0
+        self._thread = threading.Thread(
+            target=self._write_lines, name="log", daemon=True
+        )
+        self._thread.start()
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Queue the line of a record, or count it as dropped."""
+        if len(self._lines) >= self._max_waiting_lines:
+            self.n_dropped += 1
+            return
+        self._lines.append(self.format(record))
+        self._has_lines.set()
+
+    def close(self) -> None:
+        """Write what waits, unless the reader has stalled."""
+        self._is_closed.set()
+        self._has_lines.set()
+        self._thread.join(timeout=WRITE_INTERVAL_S * 2)
+        super().close()
+
+    def _write_lines(self) -> None:
+        while not self._is_closed.is_set():
+            self._has_lines.wait()
+            self._is_closed.wait(WRITE_INTERVAL_S)
+            self._has_lines.clear()
+            self._write_waiting()
+        self._write_waiting()
+
+    def _write_waiting(self) -> None:
+        lines = [self._lines.popleft() for _ in range(len(self._lines))]
+        if not lines:
+            return
+        try:
+            self._stream.write("\n".join(lines) + "\n")
+            self._stream.flush()
+        except (OSError, ValueError):
+            # Nobody reads any more, and there is nowhere to say so.
+            self.n_dropped += len(lines)
--- a/src/pomelothread/platform/__main__.py
+++ b/src/pomelothread/platform/__main__.py
@@ -10,6 +10,7 @@
 from ..clock import BootClock
 from ..events import setup_logging
 from ..gateway.process import Gateway
+from ..log_output import QueueingHandler
 from ..settings import EXIT_SETTINGS, LoggingSettings
 from .boot import load_settings, settings_path
 from .link import make_platform_link
@@ -21,6 +22,7 @@
 
 Flags:
   --settings=FILE  settings that the platform writes
+  --metrics_port=N serve /metrics at this port, too
   --check          check the settings and exit
   --version        print the version and exit
 
@@ -32,6 +34,7 @@
 def main() -> None:
     """Run the command and exit with its code."""
     flags.DEFINE_string("settings", None, "Path of the settings file.")
+    flags.DEFINE_integer("metrics_port", 0, "Port of the metrics; 0 for none.")
     flags.DEFINE_bool("check", False, "Check the settings and exit.")
     flags.DEFINE_bool("version", False, "Print the version and exit.")
     # absl shows this text for --help.
@@ -47,7 +50,7 @@
     if len(argv) > 1 or path is None:
         print("give --settings=FILE and no other arguments", file=sys.stderr)
         return EXIT_SETTINGS
-    match load_settings(path):
+    match load_settings(path, flags.FLAGS.metrics_port):
         case Failure(faults):
             print("\n".join(faults), file=sys.stderr)
             return EXIT_SETTINGS
@@ -55,9 +58,14 @@
             if flags.FLAGS.check:
                 print(f"{path}: no faults")
                 return 0
-    setup_logging(LoggingSettings(), settings.instance, sys.stdout)
-
-    return asyncio.run(Gateway(settings, BootClock(), make_platform_link).run())
+    output = QueueingHandler(sys.stdout)
+    setup_logging(LoggingSettings(), settings.instance, handler=output)
+    gateway = Gateway(settings, BootClock(), make_platform_link)
+    gateway.metrics.lines_dropped.labels().set_function(lambda: output.n_dropped)
+    try:
+        return asyncio.run(gateway.run())
+    finally:
+        output.close()
 
 
 if __name__ == "__main__":
--- a/src/pomelothread/platform/boot.py
+++ b/src/pomelothread/platform/boot.py
@@ -54,13 +54,17 @@
     return Path(path) if path else None
 
 
-def load_settings(path: Path) -> Result[GatewaySettings, list[str]]:
+def load_settings(
+    path: Path, metrics_port: int = 0
+) -> Result[GatewaySettings, list[str]]:
     """Read and check the platform's settings file.
 
     Parameters
     ----------
     path : Path
         Of the TOML file.
+    metrics_port : int
+        Where metrics are served besides the address for readiness; 0 for none.
 
     Returns
     -------
@@ -92,7 +96,9 @@
             region=boot.region,
             regions=boot.zones,
             callers_address=front,
-            admin_address=ready,
+            admin_addresses=(ready, Address(boot.ip, metrics_port))
+            if metrics_port
+            else (ready,),
             store_address=store,
             peer_address=Address(boot.ip, peer_port),
             seed_addresses=tuple(
--- a/src/pomelothread/platform/headers.py
+++ b/src/pomelothread/platform/headers.py
@@ -4,7 +4,7 @@
 
 from ..gateway.dialect import CallerFacts, ResponseFacts
 from ..http1.messages import Headers, Request, ResponseHead, end_to_end, header
-from ..outcomes import NotKnown, NotRun, problem_response
+from ..outcomes import NotKnown, NotRun, Reason, problem_response
 
 _REQUEST_ID = b"x-attempt-id"
 _DEADLINE = b"x-deadline-ms"
@@ -21,6 +21,9 @@
 _CONTENT_ENCODING = b"content-encoding"
 _RETRY_AFTER = "Retry-After"
 
+# Of the refusals of a proper request, only 429, 503, 408 and 421 are known here.
+_STATUSES = {Reason.CONVICTED: 503}
+
 # Headers that only the system may set towards an upstream.
 _SET_BY_SYSTEM = frozenset(
     (
@@ -107,6 +110,7 @@
     ) -> tuple[int, Headers, bytes]:
         """Return status, headers and body of an answer of our own."""
         problem = problem_response(outcome)
+        status = _STATUSES.get(outcome.reason, problem.status)
         headers = [
             (name.lower().encode(), value.encode())
             for name, value in problem.headers.items()
@@ -117,7 +121,7 @@
             headers.append((b"retry-after", b"%.2f" % outcome.retry_after_s))
         if request_id is not None:
             headers.append((_REQUEST_ID, request_id))
-        return problem.status, tuple(headers), problem.body
+        return status, tuple(headers), problem.body
 
 
 def _number(value: bytes | None) -> float | None:
--- a/src/pomelothread/platform/link.py
+++ b/src/pomelothread/platform/link.py
@@ -1,5 +1,7 @@
 """Puts the adapter together for the gateway."""
 
+from functools import partial
+
 from ..gateway.process import PlatformLink
 from ..gateway.settings import GatewaySettings
 from ..http1.client import ConnectionPool
@@ -8,6 +10,7 @@
 from .store import (
     CONFIGURATION_KEY,
     CONFIGURATION_TOPIC,
+    CRASH_TOPIC,
     LISTING_TOPIC,
     StoreClient,
     TopicFeed,
@@ -32,6 +35,8 @@
         configurations=TopicFeed(store, CONFIGURATION_TOPIC),
         configuration_key=CONFIGURATION_KEY,
         listings=TopicFeed(store, LISTING_TOPIC),
+        crashes=TopicFeed(store, CRASH_TOPIC),
+        append_crash=partial(store.append, CRASH_TOPIC),
         decode_configuration=decode_configuration,
         decode_listing=decode_listing,
         readiness_path=READINESS_PATH,
--- a/src/pomelothread/policy/repeats.py
+++ b/src/pomelothread/policy/repeats.py
@@ -28,10 +28,13 @@
         Whether the caller has got a part of the response.
     detail : str
         What was seen.
+    was_cut : bool
+        Whether the connection ended.
     """
 
     has_begun: bool
     detail: str
+    was_cut: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/platform_rig.py
+++ b/tests/platform_rig.py
@@ -75,6 +75,7 @@
     running: asyncio.Task = None
     address: Address = None
     admin_address: Address = None
+    peer_address: Address = None
 
     def put_configuration(self, **changes):
         self.store.put("keyed.op", "config", configuration(**changes))
@@ -102,6 +103,10 @@
         while (await self.readiness()) != 200:
             await asyncio.sleep(0.01)
 
+    async def until_idle(self):
+        while self.gateway.n_checks:
+            await asyncio.sleep(0)
+
     async def readiness(self):
         caller = await open_caller(self.admin_address)
         caller.send("/v1/readiness", method="GET")
@@ -196,7 +201,7 @@
         "region": "region-a",
         "regions": {"zone-a": "region-a"},
         "callers_address": callers,
-        "admin_address": admin,
+        "admin_addresses": (admin,),
         "store_address": Address("127.0.0.1", store_port),
         "peer_address": peer,
         "seed_addresses": (),
@@ -221,10 +226,27 @@
         await rig.add_upstream(f"engine-{number}", "engines")
     for number in range(desks):
         await rig.add_upstream(f"desk-{number}", "desk")
-    rig.address, rig.admin_address, peer = free_addresses(3)
+    try:
+        async with running_gateway(rig, clock or SystemClock(), **changes):
+            yield rig
+    finally:
+        await store.http.stop()
+        for upstream in rig.upstreams.values():
+            await upstream.http.stop()
+
+
+@asynccontextmanager
+async def running_gateway(rig, clock, **changes):
+    rig.address, rig.admin_address, rig.peer_address = free_addresses(3)
     rig.gateway = Gateway(
-        settings(store.http.port, rig.address, rig.admin_address, peer, **changes),
-        clock or SystemClock(),
+        settings(
+            rig.store.http.port,
+            rig.address,
+            rig.admin_address,
+            rig.peer_address,
+            **changes,
+        ),
+        clock,
         make_platform_link,
     )
     rig.running = asyncio.ensure_future(rig.gateway.run())
@@ -238,6 +260,12 @@
     finally:
         rig.running.cancel()
         await asyncio.gather(rig.running, return_exceptions=True)
-        await store.http.stop()
-        for upstream in rig.upstreams.values():
-            await upstream.http.stop()
+
+
+@asynccontextmanager
+async def second_gateway(first):
+    """Run another gateway on the same store, with the first one as its seed."""
+    rig = Rig(first.store, first.upstreams)
+    seeds = (first.peer_address,)
+    async with running_gateway(rig, SystemClock(), seed_addresses=seeds):
+        yield rig
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -3,8 +3,15 @@
 import asyncio
 
 import pytest
-from platform_rig import configuration, gateway_rig, open_caller, route
+from platform_rig import (
+    configuration,
+    gateway_rig,
+    open_caller,
+    route,
+    second_gateway,
+)
 
+from pomelothread.policy.crash_guard import fingerprint
 from standins.platform import UpstreamFault
 
 TOKENS = "100,40"
@@ -274,3 +281,68 @@
         assert answer.is_complete
         assert answer.body == events(1, 4)
         assert await rig.running == 0
+
+
+async def test_a_request_that_crashes_upstreams_is_refused_after_three():
+    async with gateway_rig(engines=4) as rig:
+        for upstream in rig.upstreams.values():
+            upstream.fault = UpstreamFault.CRASHES
+        answers = []
+        for n in range(6):
+            answers.append(
+                await rig.call("/drafts/1", tokens=TOKENS, request_id=f"{n}")
+            )
+            await rig.until_idle()
+        assert [answer.status for answer in answers] == [502] * 3 + [503] * 3
+        assert len(rig.ran) == 3
+        # Another request is not mistaken for it.
+        await rig.call("/drafts/2", tokens=TOKENS, request_id="other")
+        assert len(rig.ran) == 4
+
+
+async def test_a_new_process_knows_the_requests_that_crash_upstreams():
+    async with gateway_rig() as rig:
+        print_ = fingerprint(b"POST", b"/drafts/1", b"{}", "club")
+        rig.store.put("keyed.crashes", print_, ["a", "b", "c"])
+        rig.store.put("keyed.crashes", "other", b"no list")
+        while (await rig.call("/drafts/1", tokens=TOKENS)).status != 503:
+            await asyncio.sleep(0.01)
+        n_ran = len(rig.ran)
+        assert (await rig.call("/drafts/1", tokens=TOKENS)).status == 503
+        assert len(rig.ran) == n_ran
+
+
+async def test_metrics_count_outcomes_and_latencies():
+    async with gateway_rig() as rig:
+        await rig.call("/drafts/1", tokens=TOKENS)
+        await rig.call("/orders/", key="wrong")
+        caller = await open_caller(rig.admin_address)
+        caller.send("/metrics", method="GET")
+        text = (await caller.answer()).body.decode()
+        caller.writer.close()
+    assert 'gateway_requests_total{outcome="200"} 1.0' in text
+    assert 'gateway_refusals_total{reason="UNAUTHORISED"} 1.0' in text
+    assert 'gateway_first_event_seconds_count{service="engines"} 1.0' in text
+
+
+async def test_two_gateways_share_loads_and_quotas():
+    async with gateway_rig(engines=1) as first:
+        engine = first.upstreams["engine-0"]
+        engine.may_go_on.clear()
+        async with second_gateway(first) as second:
+            while not (first.gateway.n_peers and second.gateway.n_peers):
+                await asyncio.sleep(0.01)
+            callers = [await open_caller(first.address) for _ in range(4)]
+            for n, caller in enumerate(callers):
+                caller.send("/drafts/", tokens=TOKENS, request_id=f"{n}")
+            while second.gateway.n_running_at("engine-0") < 4:
+                await asyncio.sleep(0.01)
+            late = await open_caller(second.address)
+            late.send("/drafts/", tokens=TOKENS, request_id="late")
+            while second.gateway.n_waiting < 1:
+                await asyncio.sleep(0.01)
+            assert len(engine.ran) == 4
+            engine.may_go_on.set()
+            for caller in [*callers, late]:
+                assert (await caller.answer()).is_complete
+                caller.writer.close()
