--- a/src/pomelothread/policy/upstream_choice.py
+++ b/src/pomelothread/policy/upstream_choice.py
@@ -126,9 +126,14 @@
     if not wanted.is_stream:
         load = 1.0 + upstream.n_all_running / max(1, upstream.listing.n_slots)
         return trip_s + upstream.speed.response_s * load
-    return trip_s + predict_first_event_s(
+    start_s = trip_s + predict_first_event_s(
         upstream.speed, wanted.n_prompt_tokens, upstream.n_all_pending_tokens
     )
+    n_slots = upstream.listing.n_slots
+    if upstream.n_all_running < n_slots:
+        return start_s
+    # On average, the first of the running streams is this far from its end.
+    return start_s + TYPICAL_EVENTS * upstream.speed.gap_s / (n_slots + 1)
 
 
 def shortest_start_s(upstreams: Iterable[Upstream], wanted: Wanted) -> float:
