--- a/src/pomelothread/events.py
+++ b/src/pomelothread/events.py
@@ -10,11 +10,12 @@
 import sys
 from datetime import UTC, datetime
 from enum import Enum
-from typing import Any, TextIO
+from typing import TYPE_CHECKING, Any, TextIO
 
 import msgspec
 
-from .settings import LoggingSettings
+if TYPE_CHECKING:
+    from .settings import LoggingSettings
 
 _FIELD = re.compile(r"%\((\w+)\)s")
 
@@ -427,7 +428,7 @@
 
 
 def setup_logging(
-    settings: LoggingSettings,
+    settings: "LoggingSettings",
     instance: str,
     stream: TextIO | None = None,
     handler: logging.Handler | None = None,
--- a/src/pomelothread/gateway/forwarding.py
+++ b/src/pomelothread/gateway/forwarding.py
@@ -55,6 +55,8 @@
 ANSWER_MARGIN_S = 0.02
 # When to come back after a refusal that has nothing to do with load.
 SOON_S = 0.3
+# Longest wait for the first configuration, a call of the store after the start.
+START_WAIT_S = 1.0
 # When to come back with a request that crashes upstreams.
 CRASHER_RETRY_S = 60.0
 
@@ -117,6 +119,8 @@
         facts = self._dialect.read_request(request)
         self._state.n_open += 1
         try:
+            if self._state.configuration is None:
+                await self._until_configured()
             match self._admit(request, facts, arrived_s):
                 case Failure(NotRun() as refusal):
                     self._refuse(responder, facts, refusal, arrived_s, None)
@@ -125,6 +129,15 @@
         finally:
             self._state.n_open -= 1
 
+    async def _until_configured(self) -> None:
+        """Hold a request that has come before the first configuration."""
+        try:
+            async with asyncio.timeout(START_WAIT_S):
+                await self._state.has_configuration.wait()
+        except TimeoutError:
+            # The request is refused, and its caller told when to come back.
+            return
+
     def _admit(
         self, request: Request, facts: CallerFacts, arrived_s: float
     ) -> Result[Job, NotRun]:
--- a/src/pomelothread/gateway/process.py
+++ b/src/pomelothread/gateway/process.py
@@ -5,6 +5,7 @@
 import random
 import secrets
 import signal
+import socket
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from typing import Any, NoReturn
@@ -101,6 +102,8 @@
         Source of time.
     make_link : callable
         Returns the adapter of the platform.
+    callers_listener : socket.socket or None
+        Port for callers, if it is open already.
     """
 
     def __init__(
@@ -108,8 +111,10 @@
         settings: GatewaySettings,
         clock: Clock,
         make_link: Callable[[GatewaySettings, ConnectionPool], PlatformLink],
+        callers_listener: socket.socket | None = None,
     ) -> None:
         self._settings = settings
+        self._callers_listener = callers_listener
         self._clock = clock
         self._incarnation = secrets.token_hex(4)
         self._state = GatewayState(settings)
@@ -215,6 +220,7 @@
             self._settings.callers_address,
             self._forwarder.handle,
             lambda: self._state.limits,
+            self._callers_listener,
         )
         admin = [
             await self._listen(address, self._answer_admin, ServerLimits)
@@ -311,7 +317,11 @@
         self._queue.serve_all()
 
     async def _listen(
-        self, address: Address, handle: Handler, limits: Callable[[], ServerLimits]
+        self,
+        address: Address,
+        handle: Handler,
+        limits: Callable[[], ServerLimits],
+        listener: socket.socket | None = None,
     ) -> asyncio.Server:
         loop = asyncio.get_running_loop()
 
@@ -325,6 +335,10 @@
             task.add_done_callback(lambda _: self._connections.discard(connection))
             return stream
 
+        if listener is not None:
+            return await loop.create_server(
+                make_stream, sock=listener, backlog=LISTEN_BACKLOG
+            )
         return await loop.create_server(
             make_stream, address.host, address.port, backlog=LISTEN_BACKLOG
         )
--- a/src/pomelothread/gateway/state.py
+++ b/src/pomelothread/gateway/state.py
@@ -1,5 +1,6 @@
 """What all tasks of a gateway share."""
 
+import asyncio
 import logging
 from collections.abc import Callable, Coroutine
 from typing import Any
@@ -35,6 +36,7 @@
         self._settings = settings
         self._budgets: dict[str, RetryBudget] = {}
         self.configuration: Configuration | None = None
+        self.has_configuration = asyncio.Event()
         self.n_open = 0
         self.is_draining = False
         self.refuses_new = False
@@ -54,6 +56,7 @@
         if previous is not None and configuration.version <= previous.version:
             return False
         self.configuration = configuration
+        self.has_configuration.set()
         log_event(
             _log,
             Event.CONFIGURATION_IN_FORCE,
--- a/src/pomelothread/platform/__main__.py
+++ b/src/pomelothread/platform/__main__.py
@@ -1,71 +1,15 @@
-"""The command that runs a gateway on the platform."""
+"""Starts a gateway on the platform: the port first, then the program."""
 
-import asyncio
-import sys
-
-from absl import app, flags
-from returns.result import Failure, Success
-
-from .. import __version__
-from ..clock import BootClock
-from ..events import setup_logging
-from ..gateway.process import Gateway
-from ..log_output import QueueingHandler
-from ..settings import EXIT_SETTINGS, LoggingSettings
-from .boot import load_settings, settings_path
-from .link import make_platform_link
-
-USAGE = """Run one gateway of pomelothread.
-
-Example:
-  pomelothread-gateway --settings=/etc/pomelothread/boot.toml
-
-Flags:
-  --settings=FILE  settings that the platform writes
-  --metrics_port=N serve /metrics at this port, too
-  --check          check the settings and exit
-  --version        print the version and exit
-
-Exit codes: 0 stopped gracefully, 1 an invariant was broken, 2 the settings have
-faults or the command line is wrong.
-"""
+from .early import open_callers_port
 
 
 def main() -> None:
     """Run the command and exit with its code."""
-    flags.DEFINE_string("settings", None, "Path of the settings file.")
-    flags.DEFINE_integer("metrics_port", 0, "Port of the metrics; 0 for none.")
-    flags.DEFINE_bool("check", False, "Check the settings and exit.")
-    flags.DEFINE_bool("version", False, "Print the version and exit.")
-    # absl shows this text for --help.
-    sys.modules["__main__"].__doc__ = USAGE
-    app.run(_run)
-
+    listener = open_callers_port()
+    # Loaded here, since callers already wait at the port.
+    from .command import run
 
-def _run(argv: list[str]) -> int:
-    if flags.FLAGS.version:
-        print(__version__)
-        return 0
-    path = settings_path(flags.FLAGS.settings)
-    if len(argv) > 1 or path is None:
-        print("give --settings=FILE and no other arguments", file=sys.stderr)
-        return EXIT_SETTINGS
-    match load_settings(path, flags.FLAGS.metrics_port):
-        case Failure(faults):
-            print("\n".join(faults), file=sys.stderr)
-            return EXIT_SETTINGS
-        case Success(settings):
-            if flags.FLAGS.check:
-                print(f"{path}: no faults")
-                return 0
-    output = QueueingHandler(sys.stdout)
-    setup_logging(LoggingSettings(), settings.instance, handler=output)
-    gateway = Gateway(settings, BootClock(), make_platform_link)
-    gateway.metrics.lines_dropped.labels().set_function(lambda: output.n_dropped)
-    try:
-        return asyncio.run(gateway.run())
-    finally:
-        output.close()
+    run(listener)
 
 
 if __name__ == "__main__":
--- a/src/pomelothread/platform/boot.py
+++ b/src/pomelothread/platform/boot.py
@@ -1,6 +1,5 @@
 """Decodes the settings file that the platform writes."""
 
-import os
 import tomllib
 from pathlib import Path
 
@@ -11,8 +10,6 @@
 from ..gateway.settings import GatewaySettings
 from ..policy.quotas import QuotaTolerance
 
-SETTINGS_VARIABLE = "POMELOTHREAD_SETTINGS"
-
 
 class _Listen(msgspec.Struct):
     front: str
@@ -48,12 +45,6 @@
     seeds: list[str] = []
 
 
-def settings_path(given: str | None) -> Path | None:
-    """Return the path given on the command line, or that of the platform."""
-    path = given or os.environ.get(SETTINGS_VARIABLE)
-    return Path(path) if path else None
-
-
 def load_settings(
     path: Path, metrics_port: int = 0
 ) -> Result[GatewaySettings, list[str]]:
--- /dev/null
+++ b/src/pomelothread/platform/command.py
@@ -0,0 +1,78 @@
+"""The command that runs a gateway on the platform."""
+
+import asyncio
+import socket
+import sys
+from pathlib import Path
+
+from absl import app, flags
+from returns.result import Failure, Success
+
+from .. import __version__
+from ..clock import BootClock
+from ..events import setup_logging
+from ..gateway.process import Gateway
+from ..log_output import QueueingHandler
+from ..settings import EXIT_SETTINGS, LoggingSettings
+from .boot import load_settings
+from .early import given_settings_path
+from .link import make_platform_link
+
+USAGE = """Run one gateway of pomelothread.
+
+Example:
+  pomelothread-gateway --settings=/etc/pomelothread/boot.toml
+
+Flags:
+  --settings=FILE  settings that the platform writes
+  --metrics_port=N serve /metrics at this port, too
+  --check          check the settings and exit
+  --version        print the version and exit
+
+Exit codes: 0 stopped gracefully, 1 an invariant was broken, 2 the settings have
+faults or the command line is wrong.
+"""
+
+
+def run(listener: socket.socket | None) -> None:
+    """Parse the command line, run until stopped, and exit.
+
+    Parameters
+    ----------
+    listener : socket.socket or None
+        Port for callers, if it is open already.
+    """
+    flags.DEFINE_string("settings", None, "Path of the settings file.")
+    flags.DEFINE_integer("metrics_port", 0, "Port of the metrics; 0 for none.")
+    flags.DEFINE_bool("check", False, "Check the settings and exit.")
+    flags.DEFINE_bool("version", False, "Print the version and exit.")
+    # absl shows this text for --help.
+    sys.modules["__main__"].__doc__ = USAGE
+    app.run(lambda argv: _run(argv, listener))
+
+
+def _run(argv: list[str], listener: socket.socket | None) -> int:
+    if flags.FLAGS.version:
+        print(__version__)
+        return 0
+    given = flags.FLAGS.settings or given_settings_path([])
+    if len(argv) > 1 or not given:
+        print("give --settings=FILE and no other arguments", file=sys.stderr)
+        return EXIT_SETTINGS
+    path = Path(given)
+    match load_settings(path, flags.FLAGS.metrics_port):
+        case Failure(faults):
+            print("\n".join(faults), file=sys.stderr)
+            return EXIT_SETTINGS
+        case Success(settings):
+            if flags.FLAGS.check:
+                print(f"{path}: no faults")
+                return 0
+    output = QueueingHandler(sys.stdout)
+    setup_logging(LoggingSettings(), settings.instance, handler=output)
+    gateway = Gateway(settings, BootClock(), make_platform_link, listener)
+    gateway.metrics.lines_dropped.labels().set_function(lambda: output.n_dropped)
+    try:
+        return asyncio.run(gateway.run())
+    finally:
+        output.close()
--- /dev/null
+++ b/src/pomelothread/platform/early.py
@@ -0,0 +1,57 @@
+"""Opens the port for callers before anything else is loaded.
+
+Loading the program takes 0.3 s. Callers that connect in this time wait in the
+kernel's queue and are served then, instead of being refused.
+"""
+
+import os
+import socket
+import sys
+import tomllib
+
+SETTINGS_VARIABLE = "POMELOTHREAD_SETTINGS"
+SETTINGS_FLAG = "--settings="
+# Connections that wait until they are accepted.
+LISTEN_BACKLOG = 1_024
+
+
+def given_settings_path(arguments: list[str]) -> str | None:
+    """Return the path given on the command line, or that of the platform.
+
+    Parameters
+    ----------
+    arguments : list of str
+        Of the command line.
+    """
+    for argument in arguments:
+        if argument.startswith(SETTINGS_FLAG):
+            return argument.removeprefix(SETTINGS_FLAG)
+    return os.environ.get(SETTINGS_VARIABLE)
+
+
+def open_callers_port(arguments: list[str] | None = None) -> socket.socket | None:
+    """Listen where callers connect.
+
+    Parameters
+    ----------
+    arguments : list of str or None
+        Of the command line; those of the process by default.
+
+    Returns
+    -------
+    socket.socket or None
+        None if the settings do not say where; their check names the fault.
+    """
+    path = given_settings_path(sys.argv[1:] if arguments is None else arguments)
+    if path is None:
+        return None
+    try:
+        with open(path, "rb") as file:  # noqa: PTH123
+            host, _, port = tomllib.load(file)["listen"]["front"].rpartition(":")
+        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((host, int(port)))
+        listener.listen(LISTEN_BACKLOG)
+    except (OSError, ValueError, KeyError, TypeError, AttributeError):
+        return None
+    return listener
