--- /dev/null
+++ b/tests/test_policy_quotas.py
@@ -0,0 +1,141 @@
+"""The fleet admits no more than a quota, however its instances come and go."""
+
+import random
+
+import pytest
+
+from pomelothread.policy.quotas import (
+    GONE_AFTER_S,
+    OVER_SHARE,
+    SILENT_AFTER_S,
+    SLACK_SHARE,
+    QuotaBook,
+    QuotaTolerance,
+)
+
+TOLERANCE = QuotaTolerance(window_s=8.0, over_ratio=0.1, slack_units=1000.0)
+RATE, BURST = 100.0, 200.0
+# What operators allow in a window, and what one instance alone may use.
+ALLOWED = (RATE * 8 + BURST) * 1.1 + 1000.0
+LIMIT = (RATE * 8 + BURST) * (1 + OVER_SHARE * 0.1) + SLACK_SHARE * 1000.0
+
+
+def make_book(started_s=-100.0):
+    book = QuotaBook(TOLERANCE, started_s)
+    book.set_quota("club", RATE, BURST)
+    return book
+
+
+def most_in_a_window(admitted):
+    return max(
+        sum(units for s, units in admitted if start_s <= s <= start_s + 8.0)
+        for start_s, _ in admitted
+    )
+
+
+def test_one_instance_uses_its_limit_and_no_more():
+    book, admitted = make_book(), []
+    for step in range(2000):
+        now_s = step * 0.02
+        if book.try_take("club", 10.0, now_s):
+            admitted.append((now_s, 10.0))
+    assert most_in_a_window(admitted) <= LIMIT
+    total_s = 40.0
+    assert sum(units for _, units in admitted) >= 0.9 * LIMIT * total_s / 8.25
+
+
+@pytest.mark.parametrize("delay_s", [0.0, 0.1])
+@pytest.mark.parametrize("n_books", [2, 5])
+def test_instances_that_hear_each_other_stay_within_what_is_allowed(n_books, delay_s):
+    source = random.Random(7)
+    books = [make_book() for _ in range(n_books)]
+    admitted, in_flight = [], []
+    for step in range(1500):
+        now_s = step * 0.02
+        while in_flight and in_flight[0][0] <= now_s:
+            _, sender, used = in_flight.pop(0)
+            for number, book in enumerate(books):
+                if number != sender:
+                    book.observe_peer(str(sender), used, now_s)
+        number = source.randrange(n_books)
+        if books[number].try_take("club", 10.0, now_s):
+            admitted.append((now_s, 10.0))
+        in_flight.append((now_s + delay_s, number, books[number].used()))
+    assert most_in_a_window(admitted) <= ALLOWED
+
+
+def test_instances_that_are_cut_off_share_the_quota():
+    books = [make_book() for _ in range(4)]
+    for number, book in enumerate(books):
+        for other in range(4):
+            if other != number:
+                book.observe_peer(str(other), {}, 0.0)
+    admitted = []
+    for step in range(1000):
+        now_s = SILENT_AFTER_S + 0.01 + step * 0.02
+        for book in books:
+            if book.try_take("club", 10.0, now_s):
+                admitted.append((now_s, 10.0))
+    assert most_in_a_window(admitted) <= ALLOWED
+
+
+def test_a_peer_that_stays_away_leaves_its_share_in_the_end():
+    book = make_book()
+    book.observe_peer("gone", {}, 0.0)
+    assert not book.try_take("club", LIMIT * 0.9, SILENT_AFTER_S + 1)
+    assert book.try_take("club", LIMIT * 0.9, GONE_AFTER_S + 1)
+
+
+def test_all_instances_killed_at_once_stay_within_what_is_allowed():
+    admitted = []
+    first = make_book()
+    for step in range(800):
+        now_s = step * 0.02
+        if first.try_take("club", 10.0, now_s):
+            admitted.append((now_s, 10.0))
+    restarted_s = 16.5
+    second = make_book(restarted_s)
+    for step in range(800):
+        now_s = restarted_s + step * 0.02
+        if second.try_take("club", 10.0, now_s):
+            admitted.append((now_s, 10.0))
+    assert most_in_a_window(admitted) <= ALLOWED
+
+
+def test_a_lower_quota_binds_one_window_later():
+    book, admitted = make_book(), []
+    for step in range(1000):
+        now_s = step * 0.02
+        if step == 300:
+            book.set_quota("club", RATE / 10, BURST / 10)
+        if book.try_take("club", 10.0, now_s):
+            admitted.append((now_s, 10.0))
+    late = [(s, units) for s, units in admitted if s > 6.0 + 8.0]
+    assert most_in_a_window(late) <= (RATE * 8 + BURST) / 10 * 1.1 + 1000.0
+
+
+def test_what_was_not_sent_is_returned_and_reported():
+    book = make_book()
+    assert book.try_take("club", 500.0, 0.0)
+    book.give_back("club", 500.0, 0.1)
+    assert book.used() == {"club": 0.0}
+    assert book.try_take("club", LIMIT - 1, 0.2)
+
+
+def test_a_refusal_says_when_the_request_fits():
+    book = make_book()
+    assert book.try_take("club", LIMIT, 0.0)
+    assert not book.try_take("club", 10.0, 1.0)
+    wait_s = book.seconds_until("club", 10.0, 1.0)
+    assert not book.try_take("club", 10.0, 1.0 + wait_s - 0.1)
+    assert book.try_take("club", 10.0, 1.0 + wait_s + 0.1)
+
+
+def test_organisations_without_a_quota_are_not_limited():
+    book = make_book()
+    book.set_quota("club", 0.0, 0.0)
+    book.set_quota("other", RATE, BURST)
+    book.keep_only(set())
+    assert book.try_take("club", 1e9, 0.0)
+    assert book.try_take("other", 1e9, 0.0)
+    assert book.used() == {}
