Let a repeated request wait until its caller would leave

A repeat may now wait until the caller would leave, counted from the last event once a stream has begun. Refusals name the organisation in the log.

--- a/src/pomelothread/gateway/forwarding.py
+++ b/src/pomelothread/gateway/forwarding.py
@@ -35,6 +35,7 @@
 from ..policy.waiting_order import (
     MAX_RETRY_AFTER_SHARE,
     WaitingFacts,
+    for_repeat,
     retry_after_s,
     stream_patience_s,
     urgency,
@@ -123,7 +124,7 @@
                 await self._until_configured()
             match self._admit(request, facts, arrived_s):
                 case Failure(NotRun() as refusal):
-                    self._refuse(responder, facts, refusal, arrived_s, None)
+                    self._refuse(responder, facts, refusal, arrived_s)
                 case Success(Job() as job):
                     await self._answer(job, responder)
         finally:
@@ -278,6 +279,15 @@
                 self._log_failure(job, lease, end, step, sent_s, attempt.status)
             if not isinstance(step, TryAnother):
                 return self._conclude(job, step, responder, attempt)
+            job.waiting = self._waiting_again(job)
+
+    def _waiting_again(self, job: Job) -> WaitingFacts:
+        patience_s = None
+        if job.first_head is not None:
+            patience_s = stream_patience_s(
+                job.route.target_latency_s, job.route.target_gap_s
+            )
+        return for_repeat(job.waiting, self._clock.monotonic_s(), patience_s)
 
     def _next_step(self, job: Job, end: AttemptEnd) -> NextStep:
         facts = self._repeat_facts(job)
@@ -333,8 +343,7 @@
             case AnswerNotRun(reason):
                 wait_s = retry_after_s(job.waiting, now_s, self._random.random())
                 refusal = NotRun(reason, retry_after_s=wait_s)
-                arrived_s = job.waiting.arrived_s
-                self._refuse(responder, job.facts, refusal, arrived_s, job)
+                self._refuse(responder, job.facts, refusal, job.waiting.arrived_s)
                 return "not run"
             case AnswerNotKnown(reason):
                 self._tell_not_known(job, responder, reason)
@@ -363,8 +372,7 @@
             self._tell_not_known(job, responder, Reason.UPSTREAM_SILENT)
             return "not known at the deadline"
         refusal = NotRun(Reason.DEADLINE_UNREACHABLE, retry_after_s=0.0)
-        arrived_s = job.waiting.arrived_s
-        self._refuse(responder, job.facts, refusal, arrived_s, job)
+        self._refuse(responder, job.facts, refusal, job.waiting.arrived_s)
         return "not run at the deadline"
 
     def _tell_not_known(self, job: Job, responder: Responder, reason: Reason) -> None:
@@ -377,20 +385,23 @@
         facts: CallerFacts,
         refusal: NotRun,
         arrived_s: float,
-        job: Job | None,
     ) -> None:
         responder.respond(*self._dialect.refusal(refusal, facts.request_id))
         self._metrics.note_refusal(refusal.reason.name)
         configuration = self._state.configuration
+        route = organisation = None
+        if configuration is not None:
+            route = configuration.find_route(facts.host, facts.path)
+            organisation = configuration.find_organisation(facts.key)
         log_event(
             _log,
             Event.REQUEST_REFUSED,
             request_id=(facts.request_id or b"").decode("latin-1"),
-            organisation=_name_of(job),
-            route=job.route.name if job else facts.path,
+            organisation=organisation.name if organisation else "",
+            route=route.name if route else facts.path,
             took_s=round(self._clock.monotonic_s() - arrived_s, 3),
             reason=refusal.reason.name,
-            retry_after_s=refusal.retry_after_s,
+            retry_after_s=refusal.retry_after_s and round(refusal.retry_after_s, 2),
             configuration_version=configuration.version if configuration else None,
         )
 
@@ -488,7 +499,7 @@
             _log,
             Event.REQUEST_ENDED,
             request_id=job.request_id,
-            organisation=_name_of(job),
+            organisation=job.organisation.name if job.organisation else "",
             route=job.route.name,
             outcome=outcome,
             took_s=round(self._clock.monotonic_s() - job.waiting.arrived_s, 3),
@@ -504,7 +515,3 @@
     if not facts.names_tokens:
         return organisation.plain_units
     return float(facts.n_prompt_tokens + facts.n_output_tokens)
-
-
-def _name_of(job: Job | None) -> str:
-    return job.organisation.name if job and job.organisation else ""
--- a/src/pomelothread/policy/waiting_order.py
+++ b/src/pomelothread/policy/waiting_order.py
@@ -4,7 +4,7 @@
 still be on time go first, late ones only when nothing else waits.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 # Part of its time that a request waits at most; the rest is kept for the run.
 MAX_WAIT_SHARE = 0.55
@@ -13,6 +13,8 @@
 MIN_STREAM_PATIENCE_S = 2.0
 LATENCIES_OF_PATIENCE = 4.0
 GAPS_OF_PATIENCE = 8.0
+# Time that is kept for another upstream to begin its response.
+MIN_RUN_S = 0.3
 # Retry-After may be at most a third of what the caller has left.
 MAX_RETRY_AFTER_SHARE = 0.33
 MIN_RETRY_AFTER_S = 0.25
@@ -36,6 +38,8 @@
         Monotonic time at which its caller leaves.
     leaves_at_s : float
         Monotonic time at which its caller leaves if nothing has come until then.
+    is_repeat : bool
+        Whether an upstream has had it already.
     """
 
     urgency: int
@@ -43,6 +47,7 @@
     aim_at_s: float
     deadline_at_s: float
     leaves_at_s: float
+    is_repeat: bool = False
 
 
 def stream_patience_s(target_latency_s: float, target_gap_s: float | None) -> float:
@@ -117,8 +122,35 @@
     )
 
 
+def for_repeat(
+    facts: WaitingFacts, now_s: float, patience_s: float | None
+) -> WaitingFacts:
+    """Return the facts of a request that waits for another upstream.
+
+    Parameters
+    ----------
+    facts : WaitingFacts
+        As it waited before.
+    now_s : float
+        Monotonic time.
+    patience_s : float or None
+        How long its caller waits for the next event, if the response has begun.
+
+    Returns
+    -------
+    WaitingFacts
+        It may wait until its caller would leave.
+    """
+    leaves_at_s = facts.leaves_at_s
+    if patience_s is not None:
+        leaves_at_s = min(facts.deadline_at_s, now_s + patience_s)
+    return replace(facts, leaves_at_s=leaves_at_s, is_repeat=True)
+
+
 def gives_up_at_s(facts: WaitingFacts) -> float:
     """Return the monotonic time at which a request is refused."""
+    if facts.is_repeat:
+        return facts.leaves_at_s - MIN_RUN_S
     return facts.arrived_s + MAX_WAIT_SHARE * (facts.leaves_at_s - facts.arrived_s)
 
 
--- a/tests/test_policy_placing.py
+++ b/tests/test_policy_placing.py
@@ -18,6 +18,7 @@
 from pomelothread.policy.upstream_speed import SpeedEstimate
 from pomelothread.policy.waiting_order import (
     WaitingFacts,
+    for_repeat,
     gives_up_at_s,
     place_in_queue,
     retry_after_s,
@@ -144,6 +145,16 @@
     assert retry_after_s(facts(), 9.99, 0.5) <= 0.01
 
 
+@pytest.mark.parametrize(
+    ("patience_s", "gives_up_s"), [(None, 3.7), (4.0, 9.7), (1.0, 7.7)]
+)
+def test_a_repeat_may_wait_until_its_caller_would_leave(patience_s, gives_up_s):
+    # A stream that broke off after seven seconds was given up at once, since
+    # most of its caller's first patience had passed.
+    again = for_repeat(facts(), 7.0, patience_s)
+    assert gives_up_at_s(again) == pytest.approx(gives_up_s)
+
+
 def test_a_stream_is_refused_before_its_caller_leaves():
     patience_s = stream_patience_s(0.5, 0.3)
     assert patience_s == pytest.approx(2.4)
