--- a/tests/test_launcher.py
+++ b/tests/test_launcher.py
@@ -151,7 +151,7 @@
 
 
 def documented_metrics():
-    page = (ROOT / "docs/operations.md").read_text(encoding="utf-8")
+    page = (ROOT / "docs/OPERATIONS.md").read_text(encoding="utf-8")
     return set(re.findall(r"`(pomelothread_\w+)", page))
 
 
--- a/tools/fault_cases.py
+++ b/tools/fault_cases.py
@@ -143,7 +143,7 @@
 
 
 async def _roll(trial: Trial, victim: str) -> None:
-    """Replace all nodes one after the other, as docs/operations.md says."""
+    """Replace all nodes one after the other, as docs/OPERATIONS.md says."""
     world = trial.world
     for name, node in world.launcher.nodes.items():
         async with world.planned_stop(name), world.locks[name]:
--- a/tools/fault_world.py
+++ b/tools/fault_world.py
@@ -130,7 +130,7 @@
     def planned_stop(self, name: str) -> AbstractAsyncContextManager[object]:
         """Return what a planned stop has to hold.
 
-        Operators stop one entry after the other (docs/operations.md). With both
+        Operators stop one entry after the other (docs/OPERATIONS.md). With both
         stopped, callers would find none, which is not a cut request.
         """
         node = self.launcher.nodes.get(name)
