--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,351 @@
+"""Whatever the platform sends is decoded into our types, or is a named fault."""
+
+import asyncio
+from datetime import UTC, datetime
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from platform_rig import configuration, route
+from returns.result import Failure, Success
+
+from pomelothread.addresses import Address
+from pomelothread.clock import ManualClock, SystemClock
+from pomelothread.gateway.events_of_stream import EventSplitter
+from pomelothread.gateway.feeds import (
+    LAPSE_GRACE_S,
+    FeedFault,
+    Follower,
+    KeyedRecord,
+    Records,
+)
+from pomelothread.gateway.listings import ListingBook
+from pomelothread.gateway.upstreams import UpstreamTable
+from pomelothread.http1.client import ConnectionPool
+from pomelothread.http1.messages import Request, ResponseHead
+from pomelothread.outcomes import NotRun, Reason
+from pomelothread.platform.boot import load_settings
+from pomelothread.platform.early import given_settings_path, open_callers_port
+from pomelothread.platform.headers import PlatformDialect
+from pomelothread.platform.records import decode_configuration, decode_listing
+from pomelothread.platform.store import StoreClient, TopicFeed
+from standins.platform import PlatformStore
+
+BOOT = """
+node = "front-1"
+ip = "127.0.0.1"
+zone = "zone-a"
+region = "region-a"
+internal_port_range = [7600, 7615]
+seeds = ["10.0.0.1:8229", "no address"]
+later_field = true
+[zones]
+zone-a = "region-a"
+[listen]
+front = "127.0.0.1:0"
+ready = "127.0.0.1:8224"
+[bounds]
+drain_ms = 3000
+grace_s = 8
+retry_budget_ratio = 0.2
+budget_window_s = 10
+budget_slack = 58
+quota_window_s = 8
+quota_over = 0.1
+quota_slack = 190000
+[platform]
+address = "10.200.1.7:8225"
+"""
+
+
+def write_boot(tmp_path, text):
+    path = tmp_path / "boot.toml"
+    path.write_text(text, encoding="utf-8")
+    return path
+
+
+def test_settings_are_decoded_and_unknown_fields_ignored(tmp_path):
+    settings = load_settings(write_boot(tmp_path, BOOT), 9464).unwrap()
+    assert settings.instance == "front-1"
+    assert settings.store_address == Address("10.200.1.7", 8225)
+    assert settings.peer_address == Address("127.0.0.1", 7600)
+    assert settings.seed_addresses == (Address("10.0.0.1", 7600),)
+    assert settings.admin_addresses[1] == Address("127.0.0.1", 9464)
+    assert settings.quota_tolerance.slack_units == 190000
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "named"),
+    [
+        ("grace_s = 8", "grace_s = 0", ["grace_s"]),
+        ('"127.0.0.1:8224"', '"nowhere"', ["listen.ready"]),
+        ('"10.200.1.7:8225"', '"x:1"', ["platform.address"]),
+        ('node = "front-1"', "", ["node"]),
+        ("[listen]", "[listen", ["line"]),
+        ('front = "127.0.0.1:0"\nready = "127.0.0.1:8224"',
+         'front = "x"\nready = "y"', ["listen.front", "listen.ready"]),
+    ],
+)  # fmt: skip
+def test_every_fault_of_the_settings_is_named(tmp_path, old, new, named):
+    faults = load_settings(write_boot(tmp_path, BOOT.replace(old, new))).failure()
+    assert all(any(name in fault for fault in faults) for name in named)
+
+
+def test_the_port_opens_before_the_program_is_loaded(tmp_path):
+    path = write_boot(tmp_path, BOOT)
+    listener = open_callers_port([f"--settings={path}"])
+    assert listener.getsockname()[0] == "127.0.0.1"
+    listener.close()
+    assert open_callers_port([f"--settings={path}.missing"]) is None
+    assert given_settings_path(["--check", "--settings=a"]) == "a"
+
+
+def test_a_configuration_becomes_routes_services_and_organisations():
+    tenants = [
+        {"name": "club", "api_keys": ["k"], "priority": 1, "unit": "token_count",
+         "plain_tokens": 200, "rate_per_s": 10, "burst": 20, "new": 1},
+    ]  # fmt: skip
+    split = [{"service": "engines", "weight": 9}, {"service": "desk", "weight": 1}]
+    routes = [
+        {**route("a"), "service": None, "traffic_split": split},
+        route("b", kind="idempotent", path_prefix="/a/b/"),
+    ]
+    value = msgspec.json.encode(configuration(routes=routes, tenants=tenants))
+    decoded = decode_configuration(value).unwrap()
+    assert decoded.find_route("A.example", "/a/b/1").name == "b"
+    assert decoded.find_route("a.example", "/a/1").destinations[0].weight == 9
+    assert decoded.find_route("a.example", "/a") is None
+    assert decoded.services["engines"].is_engine
+    assert not decoded.services["desk"].is_engine
+    club = decoded.find_organisation("k")
+    assert (club.tier, club.counts_tokens, club.plain_units) == (1, True, 200)
+
+
+@given(st.binary(max_size=200))
+def test_no_bytes_in_the_store_raise(value):
+    assert isinstance(decode_configuration(value), (Success, Failure))
+    decode_listing(KeyedRecord("k", value))
+
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(max_size=5),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(
+            st.sampled_from(
+                ("service", "address", "zone", "slots", "state", "born", "version")
+            ),
+            inner,
+            max_size=7,
+        )
+    ),
+    max_leaves=12,
+)
+
+
+@given(JSON)
+def test_no_value_of_another_shape_raises(value):
+    data = msgspec.json.encode(value)
+    assert isinstance(decode_configuration(data), (Success, Failure))
+    decode_listing(KeyedRecord("k", data))
+
+
+LISTING = {
+    "service": "s", "address": "10.0.0.1:80", "zone": "z", "slots": 4,
+    "state": "ready", "born": 1_700_000_000_000,
+}  # fmt: skip
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "asleep"},
+        {"address": "10.0.0.1"},
+        {"address": "10.0.0.1:0"},
+        {"slots": 0},
+        {"slots": "4"},
+        {"born": None},
+        {"born": 1.5},
+        {"service": None},
+    ],
+)
+def test_an_entry_of_another_writer_names_no_upstream(change):
+    assert decode_listing(KeyedRecord("k", msgspec.json.encode(LISTING)))
+    wrong = msgspec.json.encode({**LISTING, **change})
+    assert decode_listing(KeyedRecord("k", wrong)) is None
+
+
+@pytest.mark.parametrize(
+    ("value", "tokens"),
+    [
+        (b"1460,80", (1460, 80)),
+        (b" 5 , 6 ", (5, 6)),
+        (b"1460", (0, 0)),
+        (b"-1,5", (0, 0)),
+        (b"a,b", (0, 0)),
+    ],
+)
+def test_token_counts_are_decoded_or_ignored(value, tokens):
+    request = Request(b"POST", b"/a?b", ((b"x-token-usage", value),), b"")
+    facts = PlatformDialect().read_request(request)
+    assert (facts.n_prompt_tokens, facts.n_output_tokens) == tokens
+    assert facts.path == "/a"
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "genuine", "not_run"),
+    [
+        (200, ((b"x-response-seal", b"s"),), True, False),
+        (200, (), False, False),
+        (200, ((b"x-response-seal", b"s"), (b"content-encoding", b"gzip")),
+         False, False),
+        (503, ((b"x-not-executed", b"1"),), False, True),
+        (503, (), False, False),
+        (421, (), False, True),
+    ],
+)  # fmt: skip
+def test_a_response_says_whose_it_is_and_whether_it_ran(
+    status, headers, genuine, not_run
+):
+    facts = PlatformDialect().read_response(ResponseHead(status, headers))
+    assert (facts.is_genuine, facts.was_not_run) == (genuine, not_run)
+
+
+def test_a_refusal_gives_fractions_of_seconds():
+    status, headers, _ = PlatformDialect().refusal(
+        NotRun(Reason.OVERLOADED, retry_after_s=0.256), b"id"
+    )
+    assert status == 503
+    assert (b"retry-after", b"0.26") in headers
+    assert (b"x-attempt-id", b"id") in headers
+
+
+async def with_store(use):
+    store = PlatformStore()
+    await store.http.start()
+    pool = ConnectionPool(SystemClock())
+    try:
+        await use(store, StoreClient(Address("127.0.0.1", store.http.port), pool))
+    finally:
+        await store.http.stop()
+
+
+async def test_records_are_read_in_order_and_expired_ones_are_named():
+    async def use(store, client):
+        feed = TopicFeed(client, "keyed.x")
+        store.put("keyed.x", "a", {"n": 1})
+        newest = (await feed.newest()).unwrap()
+        assert newest == Records((KeyedRecord("a", b'{"n":1}'),), 1)
+        assert await client.append("keyed.x", "b", b"two")
+        store.put("keyed.x", "a", None)
+        after = (await feed.after(1, 0.0)).unwrap()
+        assert after == Records((KeyedRecord("b", b"two"), KeyedRecord("a", None)), 3)
+        store.delete_history("keyed.x")
+        assert (await feed.after(1, 0.0)).failure() is FeedFault.EXPIRED
+
+    await with_store(use)
+
+
+@pytest.mark.parametrize("fault", ["is_down", "is_silent"])
+async def test_a_store_that_does_not_answer_is_a_value(fault, monkeypatch):
+    async def use(store, client):
+        monkeypatch.setattr("pomelothread.platform.store.CALL_MARGIN_S", 0.05)
+        setattr(store, fault, True)
+        feed = TopicFeed(client, "keyed.x")
+        assert (await feed.newest()).failure() is FeedFault.UNAVAILABLE
+        assert (await feed.after(0, 0.0)).failure() is FeedFault.UNAVAILABLE
+        assert not await client.append("keyed.x", "a", b"1")
+
+    await with_store(use)
+
+
+async def test_a_lost_answer_to_an_append_is_not_taken_for_success():
+    async def use(store, client):
+        store.loses_answers = True
+        assert not await client.append("keyed.x", "a", b"1")
+
+    await with_store(use)
+
+
+class ScriptedFeed:
+    def __init__(self, *results):
+        self.results = list(results)
+
+    async def newest(self):
+        return self.results.pop(0)
+
+    async def after(self, offset, wait_s):
+        return self.results.pop(0)
+
+
+def listing_book(clock):
+    table = UpstreamTable("r", {"z": "r"})
+    return table, ListingBook(table, clock, decode_listing, lambda gone: None)
+
+
+def entry(key, **change):
+    return KeyedRecord(key, msgspec.json.encode({**LISTING, **change}))
+
+
+def test_a_listing_that_lapsed_during_an_outage_is_kept_until_it_should_be_back():
+    clock = ManualClock(datetime(2026, 3, 1, tzinfo=UTC))
+    table, book = listing_book(clock)
+    unavailable = Failure(FeedFault.UNAVAILABLE)
+    feed = ScriptedFeed(
+        Success(Records((entry("back"), entry("gone"), entry("early")), 3)),
+        Success(Records((KeyedRecord("early", None),), 4)),
+        unavailable,
+        Success(Records((KeyedRecord("back", None), KeyedRecord("gone", None)), 6)),
+        Success(Records((entry("back"),), 7)),
+    )
+    follower = Follower(
+        "upstreams", feed, clock, apply_all=book.apply_all, apply=book.apply,
+        wait_s=0.0, pause_s=1.0,
+    )  # fmt: skip
+    book.store_back_s = lambda: follower.back_s
+    clock.advance(LAPSE_GRACE_S)
+
+    async def play():
+        await follower.step()
+        await follower.step()
+        assert table.get("early") is None
+        await follower.step()
+        clock.advance(5.0)
+        await follower.step()
+        assert len(table) == 2
+        await follower.step()
+        clock.advance(LAPSE_GRACE_S)
+        book.remove_lapsed()
+
+    asyncio.run(play())
+    assert [u.listing.upstream_id for u in table.all()] == ["back"]
+
+
+def test_an_upstream_that_started_again_is_a_new_one():
+    clock = ManualClock(datetime(2026, 3, 1, tzinfo=UTC))
+    table, book = listing_book(clock)
+    book.apply(entry("a"))
+    table.get("a").n_running = 3
+    book.apply(entry("a", state="draining"))
+    assert table.get("a").n_running == 3
+    assert table.get("a").listing.is_leaving
+    book.apply(entry("a", born=1_700_000_000_001))
+    assert table.get("a").n_running == 0
+    assert len(table.of_service("s")) == 1
+
+
+@given(st.lists(st.integers(1, 9), max_size=8), st.integers(1, 7))
+def test_events_are_whole_and_unchanged_however_they_are_cut(sizes, step):
+    events = [
+        b"id: %d\ndata: %s\n\n" % (number, b"x" * size)
+        for number, size in enumerate(sizes)
+    ]
+    data = b"".join(events) + b"id: 99\nda"
+    splitter, returned = EventSplitter(), b""
+    for start in range(0, len(data), step):
+        part = splitter.feed(data[start : start + step])
+        assert not part or part.endswith(b"\n\n")
+        returned += part
+    assert returned == b"".join(events)
+    assert splitter.last_id == (len(sizes) - 1 if sizes else None)
