--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -74,6 +74,8 @@
     (UpstreamFault.SHEDS, "orders", None, 503, 0),
     (UpstreamFault.ERRORS, "orders", None, 500, 1),
     (UpstreamFault.ERRORS, "lookups", None, 500, 2),
+    (UpstreamFault.BUSY_AFTER_RUN, "orders", None, 502, 1),
+    (UpstreamFault.BUSY_AFTER_RUN, "lookups", None, 502, 2),
     (UpstreamFault.CUTS, "orders", None, 502, 1),
     (UpstreamFault.CUTS, "lookups", None, 502, 2),
     (UpstreamFault.LOSES_ANSWER, "orders", None, 502, 1),
@@ -192,6 +194,16 @@
         assert leaving.ran == []
 
 
+async def test_a_service_whose_upstreams_all_leave_refuses_and_sends_nothing():
+    async with gateway_rig(desks=1) as rig:
+        leaving = rig.upstreams["desk-0"]
+        rig.store.put("keyed.servers", "desk-0", leaving.listing(state="draining"))
+        while not rig.gateway.is_leaving("desk-0"):
+            await asyncio.sleep(0.01)
+        answer = await rig.call("/orders/", deadline_ms=200)
+        assert (answer.status, leaving.ran) == (503, [])
+
+
 async def test_an_address_that_belongs_to_another_upstream_runs_nothing():
     async with gateway_rig(desks=2) as rig:
         rig.upstreams["desk-0"].upstream_id = "someone-else"
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -21,6 +21,7 @@
     Records,
 )
 from pomelothread.gateway.listings import ListingBook
+from pomelothread.gateway.state import GatewayState
 from pomelothread.gateway.upstreams import UpstreamTable
 from pomelothread.http1.client import ConnectionPool
 from pomelothread.http1.messages import Request, ResponseHead
@@ -122,6 +123,14 @@
     assert (club.tier, club.counts_tokens, club.plain_units) == (1, True, 200)
 
 
+def test_a_lower_or_equal_version_never_replaces_the_one_in_force(tmp_path):
+    state = GatewayState(load_settings(write_boot(tmp_path, BOOT)).unwrap())
+    for version, is_accepted in ((5, True), (4, False), (5, False), (6, True)):
+        value = msgspec.json.encode(configuration(version=version))
+        assert state.accept(decode_configuration(value).unwrap()) is is_accepted
+    assert state.configuration.version == 6
+
+
 @given(st.binary(max_size=200))
 def test_no_bytes_in_the_store_raise(value):
     assert isinstance(decode_configuration(value), (Success, Failure))
