Bound what waits in memory, giving up the least urgent request first

Cause: nothing limited the requests and bodies that wait at a gateway; machines of the grown deployments have 200 MB. At 1,000 requests or 48 MB the least urgent request is refused at once, also when a more urgent one arrives later.

--- a/src/pomelothread/gateway/queue.py
+++ b/src/pomelothread/gateway/queue.py
@@ -21,6 +21,10 @@
 # A slot that has just become free is left to a peer with a more urgent request
 # for this long: about one message between regions.
 YIELD_S = 0.06
+# What waits at most. Machines of 200 MB hold this beside the program and open
+# streams; a request of usual size takes 20 KB.
+MAX_WAITING = 1_000
+MAX_WAITING_BYTES = 48 * 1024 * 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,7 +62,7 @@
 @dataclass(slots=True)
 class _Ticket:
     job: Job
-    granted: asyncio.Future[Lease]
+    granted: asyncio.Future[Lease | NoSlot]
 
 
 class UpstreamQueue:
@@ -125,6 +129,8 @@
         ticket = _Ticket(job, loop.create_future())
         self._tickets.setdefault(job.service, []).append(ticket)
         self.serve(job.service)
+        if not ticket.granted.done():
+            self._make_room()
         if ticket.granted.done():
             return ticket.granted.result()
         self.load_changed.set()
@@ -142,6 +148,17 @@
             if ticket.granted.done() and not ticket.granted.cancelled():
                 self._return_if_unused(ticket)
 
+    def _make_room(self) -> None:
+        """Give up the least urgent request if more wait than memory allows."""
+        waiting = [t for tickets in self._tickets.values() for t in tickets]
+        n_bytes = sum(len(ticket.job.request.body) for ticket in waiting)
+        if len(waiting) <= MAX_WAITING and n_bytes <= MAX_WAITING_BYTES:
+            return
+        now_s = self._clock.monotonic_s()
+        last = max(waiting, key=lambda t: place_in_queue(t.job.waiting, now_s, 0.0))
+        self._tickets[last.job.service].remove(last)
+        last.granted.set_result(NoSlot(had_upstream=True))
+
     def serve_all(self) -> None:
         """Give free slots to waiting requests of all services."""
         for service in list(self._tickets):
@@ -191,8 +208,9 @@
     def _return_if_unused(self, ticket: _Ticket) -> None:
         """Return a slot that was granted just as its request was cancelled."""
         task = asyncio.current_task()
-        if task is not None and task.cancelling():
-            self.release(ticket.granted.result(), has_first_event=False)
+        lease = ticket.granted.result()
+        if task is not None and task.cancelling() and isinstance(lease, Lease):
+            self.release(lease, has_first_event=False)
 
     def _on_recheck(self) -> None:
         self._recheck = None
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -183,6 +183,30 @@
         assert "left" not in [call.headers["x-attempt-id"] for call in engine.ran]
 
 
+async def test_when_memory_is_used_up_the_least_urgent_request_is_refused(monkeypatch):
+    monkeypatch.setattr("pomelothread.gateway.queue.MAX_WAITING", 2)
+    routes = [route("urgent", priority=0), route("later", priority=2)]
+    async with gateway_rig(engines=1, config=configuration(routes=routes)) as rig:
+        engine = rig.upstreams["engine-0"]
+        engine.may_go_on.clear()
+        callers = [await open_caller(rig.address) for _ in range(4 + N_AHEAD + 3)]
+        for n, caller in enumerate(callers[:-3]):
+            caller.send("/urgent/", tokens=TOKENS, request_id=f"{n}")
+        while len(engine.ran) < 4 + N_AHEAD:
+            await asyncio.sleep(0)
+        for n, caller in enumerate(callers[-3:-1]):
+            caller.send("/later/", tokens=TOKENS, request_id=f"later-{n}")
+            while rig.gateway.n_waiting < n + 1:
+                await asyncio.sleep(0)
+        callers[-1].send("/urgent/", tokens=TOKENS, request_id="urgent")
+        assert (await callers[-2].answer()).status == 503
+        engine.may_go_on.set()
+        for caller in [*callers[:-2], callers[-1]]:
+            assert (await caller.answer()).is_complete
+        for caller in callers:
+            caller.writer.close()
+
+
 async def test_a_leaving_upstream_gets_no_new_request():
     async with gateway_rig(desks=2) as rig:
         leaving = rig.upstreams["desk-0"]
