Look at no waiting request while no upstream has a free slot

Cause: each message of a peer and each end of a request sorted all that waits and tried every upstream for it, 300 times for nothing in a burst.

--- a/src/pomelothread/gateway/queue.py
+++ b/src/pomelothread/gateway/queue.py
@@ -8,6 +8,7 @@
 from ..policy.upstream_choice import (
     Wanted,
     choose_upstream,
+    has_free_slot,
     shortest_start_s,
     usable,
 )
@@ -169,8 +170,11 @@
         tickets = self._tickets.get(service)
         if not tickets:
             return
-        now_s = self._clock.monotonic_s()
+        self._recheck_later()
         upstreams = self._table.of_service(service)
+        if not has_free_slot(upstreams):
+            return
+        now_s = self._clock.monotonic_s()
         tickets.sort(
             key=lambda ticket: place_in_queue(
                 ticket.job.waiting,
@@ -186,9 +190,8 @@
             if upstream is not None:
                 tickets.remove(ticket)
                 ticket.granted.set_result(self._take(upstream, ticket.job, now_s))
-        if tickets and self._recheck is None:
-            loop = asyncio.get_running_loop()
-            self._recheck = loop.call_later(RECHECK_S, self._on_recheck)
+                if not has_free_slot(upstreams):
+                    return
 
     def note_first_event(self, lease: Lease) -> None:
         """Count the prompt of a lease as read."""
@@ -212,6 +215,11 @@
         if task is not None and task.cancelling() and isinstance(lease, Lease):
             self.release(lease, has_first_event=False)
 
+    def _recheck_later(self) -> None:
+        if self._recheck is None:
+            loop = asyncio.get_running_loop()
+            self._recheck = loop.call_later(RECHECK_S, self._on_recheck)
+
     def _on_recheck(self) -> None:
         self._recheck = None
         self.serve_all()
--- a/src/pomelothread/policy/upstream_choice.py
+++ b/src/pomelothread/policy/upstream_choice.py
@@ -98,7 +98,7 @@
         None if it is better to wait for a slot.
     """
     n_ahead = N_AHEAD if wanted.is_stream else 0
-    free = [u for u in candidates if u.n_all_running < u.listing.n_slots + n_ahead]
+    free = [u for u in candidates if _n_free(u, n_ahead) > 0]
     if not free:
         return None
     costs = {
@@ -120,6 +120,15 @@
     return None if could_make_it else best
 
 
+def has_free_slot(upstreams: Iterable[Upstream]) -> bool:
+    """Tell whether any upstream could take a request, whichever it is."""
+    return any(_n_free(upstream, N_AHEAD) > 0 for upstream in upstreams)
+
+
+def _n_free(upstream: Upstream, n_ahead: int) -> int:
+    return upstream.listing.n_slots + n_ahead - upstream.n_all_running
+
+
 def start_s(upstream: Upstream, wanted: Wanted) -> float:
     """Predict the seconds until the caller gets the first byte."""
     trip_s = NEAR_ROUND_TRIP_S if upstream.is_near else FAR_ROUND_TRIP_S
