--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,11 @@
 	$(VENV)/bin/pytest
 
 demo: $(VENV)/.installed
+ifeq ($(DEPLOYMENT),platform)
+	$(PY) -m platform_demo
+else
 	$(PY) -m demo --deployment=$(DEPLOYMENT)
+endif
 
 bench: $(VENV)/.installed
 	$(PY) -m bench --seed=$(SEED)
--- /dev/null
+++ b/tools/platform_demo.py
@@ -0,0 +1,270 @@
+"""Runs a real gateway process against stand-ins of the users' platform.
+
+Sends streams, orders and lookups, loses an upstream, kills the gateway without
+warning, stops it gracefully, and checks what callers and upstreams saw.
+"""
+
+import asyncio
+import os
+import signal
+import socket
+import sys
+import tempfile
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import h11
+
+from standins.platform import PlatformStore, PlatformUpstream, UpstreamFault
+
+N_CALLERS = 12
+N_REQUESTS = 5
+KEY = "demo-key"
+N_EVENTS = 6
+
+SETTINGS = """
+node = "gateway-1"
+ip = "127.0.0.1"
+zone = "zone-a"
+region = "region-a"
+internal_port_range = [{peer_port}, {peer_port}]
+seeds = []
+[zones]
+zone-a = "region-a"
+[listen]
+front = "127.0.0.1:{front_port}"
+ready = "127.0.0.1:{ready_port}"
+[bounds]
+config_ms = 3000
+drain_ms = 3000
+grace_s = 8
+retry_budget_ratio = 0.2
+budget_window_s = 10
+budget_slack = 58
+quota_window_s = 8
+quota_over = 0.1
+quota_slack = 190000
+[platform]
+address = "127.0.0.1:{store_port}"
+"""
+
+
+@dataclass
+class Counts:
+    """What callers got."""
+
+    by_status: dict[int, int] = field(default_factory=dict)
+    faults: list[str] = field(default_factory=list)
+
+    def add(self, status: int) -> None:
+        """Count one answer."""
+        self.by_status[status] = self.by_status.get(status, 0) + 1
+
+
+def _configuration() -> dict[str, object]:
+    def route(name: str, kind: str, service: str, tier: int) -> dict[str, object]:
+        return {
+            "name": name,
+            "host": "demo.example",
+            "path_prefix": f"/{name}/",
+            "kind": kind,
+            "timeout_ms": 5000,
+            "target_latency_ms": 1000,
+            "priority": tier,
+            "service": service,
+            "max_attempts": 2,
+            "resumable": kind == "streaming",
+        }
+
+    return {
+        "version": 1,
+        "routes": [
+            route("drafts", "streaming", "engines", 0),
+            route("orders", "non_idempotent", "desk", 1),
+            route("lookups", "idempotent", "desk", 2),
+        ],
+        "services": [
+            {"name": "engines", "max_conns": 100, "engine": {"slots": 4}},
+            {"name": "desk", "max_conns": 100},
+        ],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 1_000_000,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+        },
+        "tenants": [{"name": "club", "api_keys": [KEY]}],
+    }
+
+
+class Demo:
+    """Stand-ins, one gateway process and its callers."""
+
+    def __init__(self, directory: Path) -> None:
+        self._directory = directory
+        self._store = PlatformStore()
+        self._upstreams = [
+            PlatformUpstream(f"engine-{n}", "engines", N_EVENTS, 0.01) for n in range(3)
+        ] + [PlatformUpstream(f"desk-{n}", "desk") for n in range(2)]
+        self._ports = _free_ports(3)
+        self._gateway: asyncio.subprocess.Process | None = None
+        self.counts = Counts()
+
+    async def run(self) -> list[str]:
+        """Play the demo; returns the faults that were found."""
+        await self._store.http.start()
+        for upstream in self._upstreams:
+            await upstream.http.start()
+            self._store.put("keyed.servers", upstream.upstream_id, upstream.listing())
+        self._store.put("keyed.op", "config", _configuration())
+        settings = SETTINGS.format(
+            front_port=self._ports[0],
+            ready_port=self._ports[1],
+            peer_port=self._ports[2],
+            store_port=self._store.http.port,
+        )
+        (self._directory / "boot.toml").write_text(settings, encoding="utf-8")
+        try:
+            await self._play()
+        finally:
+            if self._gateway is not None and self._gateway.returncode is None:
+                self._gateway.kill()
+                await self._gateway.wait()
+            await self._store.http.stop()
+            for upstream in self._upstreams:
+                await upstream.http.stop()
+        self._check_runs()
+        return self.counts.faults
+
+    async def _play(self) -> None:
+        await self._start()
+        await self._call_all("calm")
+        self._upstreams[0].fault = UpstreamFault.CUTS
+        await self._call_all("an engine cuts its streams")
+        self._upstreams[0].fault = UpstreamFault.NONE
+        assert self._gateway is not None
+        self._gateway.kill()
+        await self._gateway.wait()
+        await self._start()
+        await self._call_all("after a kill")
+        calls = asyncio.ensure_future(self._call_all("during a stop"))
+        while not sum(len(u.ran) for u in self._upstreams[:1]):
+            await asyncio.sleep(0)
+        self._gateway.send_signal(signal.SIGTERM)
+        await calls
+        if await self._gateway.wait() != 0:
+            self.counts.faults.append(f"exit code {self._gateway.returncode}")
+
+    async def _start(self) -> None:
+        with (self._directory / "gateway.log").open("ab") as log:
+            self._gateway = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "pomelothread.platform",
+                f"--settings={self._directory / 'boot.toml'}",
+                stdout=log,
+                env=os.environ,
+            )
+        while await self._status(self._ports[1], "GET", "/v1/readiness") != 200:
+            await asyncio.sleep(0.05)
+
+    async def _call_all(self, phase: str) -> None:
+        before = dict(self.counts.by_status)
+        await asyncio.gather(
+            *(self._caller(f"{phase}-{n}", n % 3) for n in range(N_CALLERS))
+        )
+        new = {s: n - before.get(s, 0) for s, n in self.counts.by_status.items()}
+        print(f"{phase}: {new}")
+
+    async def _caller(self, name: str, kind: int) -> None:
+        target = ("/drafts/", "/orders/", "/lookups/")[kind]
+        for number in range(N_REQUESTS):
+            request_id = f"{name.replace(' ', '-')}-{number}"
+            status = await self._status(
+                self._ports[0], "POST", target, request_id, is_stream=kind == 0
+            )
+            self.counts.add(status)
+            if status != 200:
+                self.counts.faults.append(f"{request_id}: status {status}")
+
+    async def _status(
+        self,
+        port: int,
+        method: str,
+        target: str,
+        request_id: str = "none",
+        is_stream: bool = False,
+    ) -> int:
+        """Return the status of a whole response, 0 for an incomplete one."""
+        try:
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        except OSError:
+            # Not listening yet, or no longer.
+            return 0
+        protocol = h11.Connection(h11.CLIENT)
+        headers = [
+            ("Host", "demo.example"),
+            ("X-Attempt-Id", request_id),
+            ("X-Deadline-Ms", "5000"),
+            ("Api-Key", KEY),
+            ("Content-Length", "0"),
+        ]
+        if is_stream:
+            headers.append(("X-Token-Usage", "100,40"))
+        request = h11.Request(method=method, target=target, headers=headers)
+        writer.write(protocol.send(request) or b"")
+        writer.write(protocol.send(h11.EndOfMessage()) or b"")
+        status, body = 0, b""
+        try:
+            while True:
+                event = protocol.next_event()
+                if event is h11.NEED_DATA:
+                    protocol.receive_data(await reader.read(65_536))
+                elif isinstance(event, h11.Response):
+                    status = event.status_code
+                elif isinstance(event, h11.Data):
+                    body += event.data
+                elif isinstance(event, h11.EndOfMessage):
+                    break
+                else:
+                    return 0
+        except (h11.RemoteProtocolError, ConnectionError):
+            return 0
+        finally:
+            writer.close()
+        if is_stream and status == 200 and body.count(b"id: ") != N_EVENTS:
+            self.counts.faults.append(f"{request_id}: {body.count(b'id: ')} events")
+        return status
+
+    def _check_runs(self) -> None:
+        """No order runs more than once."""
+        runs: dict[str, int] = {}
+        for upstream in self._upstreams:
+            for call in upstream.ran:
+                if call.target == "/orders/":
+                    request_id = call.headers["x-attempt-id"]
+                    runs[request_id] = runs.get(request_id, 0) + 1
+        self.counts.faults += [f"{k} ran {n} times" for k, n in runs.items() if n > 1]
+
+
+def _free_ports(n: int) -> list[int]:
+    sockets = [socket.socket() for _ in range(n)]
+    try:
+        for sock in sockets:
+            sock.bind(("127.0.0.1", 0))
+        return [int(sock.getsockname()[1]) for sock in sockets]
+    finally:
+        for sock in sockets:
+            sock.close()
+
+
+def main() -> int:
+    """Run the demo and return the process's exit code."""
+    with tempfile.TemporaryDirectory() as directory:
+        faults = asyncio.run(Demo(Path(directory)).run())
+    print("\n".join(faults) or "no faults")
+    return 1 if faults else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
