Divide the repeats among the gateways that are heard, and split off admission

Cause: the budget of a service was made with its first request, before other gateways had been heard, and kept a third of the fleet's repeats at each of 28 gateways.

--- a/src/pomelothread/gateway/forwarding.py
+++ b/src/pomelothread/gateway/forwarding.py
@@ -4,7 +4,7 @@
 import logging
 import random
 
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Success
 
 from ..clock import Clock
 from ..events import Event, log_event
@@ -12,8 +12,7 @@
 from ..http1.messages import Request
 from ..http1.server import Responder
 from ..outcomes import NotKnown, NotRun, Reason
-from ..policy.crash_guard import CrashGuard, fingerprint
-from ..policy.quotas import QuotaBook
+from ..policy.crash_guard import CrashGuard
 from ..policy.repeats import (
     AnswerNotKnown,
     AnswerNotRun,
@@ -33,15 +32,13 @@
     give_up,
 )
 from ..policy.waiting_order import (
-    MAX_RETRY_AFTER_SHARE,
     WaitingFacts,
     for_repeat,
     retry_after_s,
     stream_patience_s,
-    urgency,
 )
+from .admission import Admission
 from .attempt import Attempt
-from .configuration import Configuration, Organisation, Route
 from .crashes import CrashBook
 from .dialect import CallerFacts, Dialect
 from .jobs import Job
@@ -52,14 +49,8 @@
 
 _log = logging.getLogger(__name__)
 
-# Part of the caller's time that is kept back for the way of the answer.
-ANSWER_MARGIN_S = 0.02
-# When to come back after a refusal that has nothing to do with load.
-SOON_S = 0.3
-# Longest wait for the first configuration, a call of the store after the start.
-START_WAIT_S = 1.0
-# When to come back with a request that crashes upstreams.
-CRASHER_RETRY_S = 60.0
+# Status of an upstream that has used up the time which it was given.
+TIMED_OUT = 504
 
 
 class Forwarder:
@@ -75,8 +66,8 @@
         Connections to upstreams.
     queue : UpstreamQueue
         Where requests wait.
-    quotas : QuotaBook
-        Quotas of organisations.
+    admission : Admission
+        Decides which requests may wait.
     metrics : GatewayMetrics
         Counts what happens.
     crash_guard : CrashGuard
@@ -86,7 +77,7 @@
     clock : Clock
         Source of time.
     random_source : random.Random
-        Chooses destinations by weight and spreads returning callers.
+        Spreads returning callers.
     """
 
     def __init__(
@@ -95,7 +86,7 @@
         dialect: Dialect,
         pool: ConnectionPool,
         queue: UpstreamQueue,
-        quotas: QuotaBook,
+        admission: Admission,
         metrics: GatewayMetrics,
         crash_guard: CrashGuard,
         crashes: CrashBook,
@@ -106,7 +97,7 @@
         self._dialect = dialect
         self._pool = pool
         self._queue = queue
-        self._quotas = quotas
+        self._admission = admission
         self._metrics = metrics
         self._crash_guard = crash_guard
         self._crashes = crashes
@@ -120,9 +111,7 @@
         facts = self._dialect.read_request(request)
         self._state.n_open += 1
         try:
-            if self._state.configuration is None:
-                await self._until_configured()
-            match self._admit(request, facts, arrived_s):
+            match await self._admission.admit(request, facts, arrived_s):
                 case Failure(NotRun() as refusal):
                     self._refuse(responder, facts, refusal, arrived_s)
                 case Success(Job() as job):
@@ -130,101 +119,6 @@
         finally:
             self._state.n_open -= 1
 
-    async def _until_configured(self) -> None:
-        """Hold a request that has come before the first configuration."""
-        try:
-            async with asyncio.timeout(START_WAIT_S):
-                await self._state.has_configuration.wait()
-        except TimeoutError:
-            # The request is refused, and its caller told when to come back.
-            return
-
-    def _admit(
-        self, request: Request, facts: CallerFacts, arrived_s: float
-    ) -> Result[Job, NotRun]:
-        """Decide whether a request may wait for an upstream."""
-        configuration = self._state.configuration
-        if configuration is None:
-            return Failure(NotRun(Reason.NO_UPSTREAM, "not started yet", SOON_S))
-        route = configuration.find_route(facts.host, facts.path)
-        if route is None:
-            return Failure(NotRun(Reason.UNKNOWN_RESOURCE))
-        organisation = configuration.find_organisation(facts.key)
-        needs_key = bool(configuration.organisations) and not route.is_public
-        if needs_key and organisation is None:
-            return Failure(NotRun(Reason.UNAUTHORISED))
-        if facts.request_id is None:
-            return Failure(NotRun(Reason.MALFORMED_BODY, "the request has no id"))
-        print_ = fingerprint(
-            request.method,
-            request.target,
-            request.body,
-            organisation.name if organisation else "",
-        )
-        if self._crash_guard.is_refused(print_):
-            return Failure(NotRun(Reason.CONVICTED, retry_after_s=CRASHER_RETRY_S))
-        if self._state.refuses_new:
-            return Failure(NotRun(Reason.SHUTTING_DOWN, retry_after_s=SOON_S))
-        if organisation is not None:
-            units = quota_units(organisation, facts)
-            if not self._quotas.try_take(organisation.name, units, arrived_s):
-                return Failure(self._over_quota(organisation, facts, arrived_s))
-        job = self._make_job(
-            request, facts, arrived_s, configuration, route, organisation, print_
-        )
-        self._state.retry_budget(job.service).earn()
-        return Success(job)
-
-    def _over_quota(
-        self, organisation: Organisation, facts: CallerFacts, now_s: float
-    ) -> NotRun:
-        units = quota_units(organisation, facts)
-        wait_s = self._quotas.seconds_until(organisation.name, units, now_s)
-        longest_s = MAX_RETRY_AFTER_SHARE * (facts.deadline_s or SOON_S)
-        return NotRun(
-            Reason.ORGANISATION_LIMIT, retry_after_s=min(max(wait_s, SOON_S), longest_s)
-        )
-
-    def _make_job(
-        self,
-        request: Request,
-        facts: CallerFacts,
-        arrived_s: float,
-        configuration: Configuration,
-        route: Route,
-        organisation: Organisation | None,
-        print_: str,
-    ) -> Job:
-        destinations = route.destinations
-        service = self._random.choices(
-            [destination.service for destination in destinations],
-            [destination.weight for destination in destinations],
-        )[0]
-        longest_s = route.timeout_s
-        if facts.deadline_s is not None:
-            longest_s = min(longest_s, facts.deadline_s)
-        patience_s = longest_s
-        if route.is_streaming:
-            patience_s = stream_patience_s(route.target_latency_s, route.target_gap_s)
-        waiting = WaitingFacts(
-            urgency=urgency(organisation.tier if organisation else None, route.tier),
-            arrived_s=arrived_s,
-            aim_at_s=arrived_s + route.target_latency_s,
-            deadline_at_s=arrived_s + longest_s - ANSWER_MARGIN_S,
-            leaves_at_s=arrived_s + min(longest_s, patience_s) - ANSWER_MARGIN_S,
-        )
-        return Job(
-            request,
-            facts,
-            route,
-            service,
-            organisation,
-            waiting,
-            configuration.version,
-            print_,
-            last_event_id=facts.last_event_id,
-        )
-
     async def _answer(self, job: Job, responder: Responder) -> None:
         """Try upstreams until there is an answer, at most until the deadline."""
         left_s = job.left_s(self._clock.monotonic_s())
@@ -237,10 +131,8 @@
                 raise
             outcome = self._end_at_deadline(job, responder)
         finally:
-            if job.n_sent == 0 and job.organisation is not None:
-                units = quota_units(job.organisation, job.facts)
-                now_s = self._clock.monotonic_s()
-                self._quotas.give_back(job.organisation.name, units, now_s)
+            if job.n_sent == 0:
+                self._admission.give_back(job)
             self._note_end(job, outcome)
 
     async def _try_upstreams(self, job: Job, responder: Responder) -> str:
@@ -273,7 +165,7 @@
             self._metrics.note_attempt(
                 job.service, type(end).__name__, attempt.first_event_s
             )
-            self._note_health(lease, end, sent_s, job)
+            self._note_health(lease, end, sent_s, job, attempt.status)
             step = self._next_step(job, end)
             if not isinstance(end, Delivered):
                 self._log_failure(job, lease, end, step, sent_s, attempt.status)
@@ -406,7 +298,7 @@
         )
 
     def _note_health(
-        self, lease: Lease, end: AttemptEnd, sent_s: float, job: Job
+        self, lease: Lease, end: AttemptEnd, sent_s: float, job: Job, status: int
     ) -> None:
         upstream, now_s = lease.upstream, self._clock.monotonic_s()
         match end:
@@ -423,6 +315,13 @@
             case Broken(was_cut=True):
                 self._note_cut(job, lease, now_s)
                 rests = upstream.health.observe_failure(now_s)
+            case FailedResponse() if status == TIMED_OUT:
+                # The upstream ran out of the time that it was given, which tells
+                # how slow it is and not that it fails.
+                upstream.health.observe_cancelled()
+                if not job.route.is_streaming:
+                    upstream.speed.observe_response(now_s - sent_s)
+                return
             case Declined() | FailedResponse() | Broken():
                 rests = upstream.health.observe_failure(now_s)
         if not rests:
@@ -506,12 +405,3 @@
             attempts=job.n_sent,
             configuration_version=job.configuration_version,
         )
-
-
-def quota_units(organisation: Organisation, facts: CallerFacts) -> float:
-    """Return what a request counts in its organisation's quota."""
-    if not organisation.counts_tokens:
-        return 1.0
-    if not facts.names_tokens:
-        return organisation.plain_units
-    return float(facts.n_prompt_tokens + facts.n_output_tokens)
--- a/src/pomelothread/gateway/process.py
+++ b/src/pomelothread/gateway/process.py
@@ -22,6 +22,7 @@
 from ..metrics import CONTENT_TYPE
 from ..policy.crash_guard import CrashGuard
 from ..policy.quotas import QuotaBook
+from .admission import Admission
 from .configuration import Configuration
 from .crashes import CRASHES_WAIT_S, Append, CrashBook
 from .dialect import Dialect
@@ -134,7 +135,9 @@
             self._link.dialect,
             self._pool,
             self._queue,
-            self._quotas,
+            Admission(
+                self._state, self._quotas, self._crash_guard, clock, random_source
+            ),
             self.metrics,
             self._crash_guard,
             self._crashes,
--- a/src/pomelothread/gateway/state.py
+++ b/src/pomelothread/gateway/state.py
@@ -16,6 +16,8 @@
 # Part of the fleet's repeats that the gateways use together; the rest covers
 # what restarted processes do not remember.
 BUDGET_SHARE = 0.5
+# Gateways among which the repeats are divided before others have been heard.
+MIN_GATEWAYS = 3
 
 
 def _not_started(work: Coroutine[Any, Any, None]) -> object:
@@ -67,11 +69,13 @@
 
     def retry_budget(self, service: str) -> RetryBudget:
         """Return the repeats that this process may send to a service."""
+        n_gateways = max(MIN_GATEWAYS, self.n_gateways)
+        stock = BUDGET_SHARE * self._settings.retry_stock / n_gateways
         budget = self._budgets.get(service)
         if budget is None:
-            stock = BUDGET_SHARE * self._settings.retry_stock / max(3, self.n_gateways)
             budget = RetryBudget(BUDGET_SHARE * self._settings.retry_ratio, stock)
             self._budgets[service] = budget
+        budget.set_stock(stock)
         return budget
 
     def peer_age_s(self, now_s: float) -> float | None:
--- a/src/pomelothread/policy/retries.py
+++ b/src/pomelothread/policy/retries.py
@@ -133,6 +133,11 @@
         self._stock = stock
         self._left = stock
 
+    def set_stock(self, stock: float) -> None:
+        """Change how many rebindings can be saved up."""
+        self._stock = stock
+        self._left = min(self._left, stock)
+
     def earn(self) -> None:
         """Count the first attempt of a request."""
         self._left = min(self._stock, self._left + self._ratio)
