Lose no slot that is granted as a wait ends, and find seeds again

Cause: when a slot became free in the same turn of the loop in which a waiting request gave up, the slot was granted to it and never returned: the upstream kept one request less for as long as the process lived. Seeds that were silent for 40 s were forgotten for good, so two sides of a long cut would not have found each other again.

--- a/src/pomelothread/gateway/process.py
+++ b/src/pomelothread/gateway/process.py
@@ -206,8 +206,7 @@
         loop.add_signal_handler(signal.SIGTERM, self.stop)
         # Settings are read at the start; addresses do not change in a process.
         loop.add_signal_handler(signal.SIGHUP, lambda: None)
-        for seed in self._settings.seed_addresses:
-            self._peers.introduce(seed)
+        self._introduce_seeds()
         peer_address = self._settings.peer_address
         await loop.create_datagram_endpoint(
             lambda: self._reporter.link, (peer_address.host, peer_address.port)
@@ -247,6 +246,10 @@
         log_event(_log, Event.GATEWAY_STOPPED, n_open=self._state.n_open)
         return 0
 
+    def _introduce_seeds(self) -> None:
+        for seed in self._settings.seed_addresses:
+            self._peers.introduce(seed)
+
     def _set_gauges(self) -> None:
         metrics = self.metrics
         metrics.waiting.labels().set_function(lambda: self._queue.n_waiting)
@@ -379,6 +382,8 @@
         while True:
             await self._clock.sleep(HOUSEKEEPING_S)
             self._listings.remove_lapsed()
+            # A seed that was silent for long has been forgotten.
+            self._introduce_seeds()
             self._pool.close_stale()
 
     async def _drain(self, callers: asyncio.Server) -> None:
--- a/src/pomelothread/gateway/queue.py
+++ b/src/pomelothread/gateway/queue.py
@@ -140,6 +140,9 @@
             async with asyncio.timeout(max(0.0, wait_s)):
                 return await ticket.granted
         except TimeoutError:
+            if ticket.granted.done() and not ticket.granted.cancelled():
+                # Granted in the same turn of the loop in which the wait ended.
+                return ticket.granted.result()
             candidates = self._usable(job)
             return NoSlot(had_upstream=bool(candidates))
         finally:
