Never pass on a failure whose body was not read whole

Cause: an upstream's failure with a body above 512 KB was passed on with the part that had been read, framed as if it were whole. It is now answered as not known. Found by reading; the new row fails without the change.

--- a/src/pomelothread/gateway/attempt.py
+++ b/src/pomelothread/gateway/attempt.py
@@ -179,6 +179,8 @@
             return _broken_by(body, self._job.first_head is not None)
         if self._job.first_head is not None:
             return Broken(True, f"status {head.status} for the rest of a stream")
+        if not exchange.is_complete:
+            return Broken(False, f"status {head.status} with a body that is too large")
         headers = tuple(end_to_end(head.headers))
         self.held_failure = HeldFailure(head.status, headers, body)
         return FailedResponse()
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -76,6 +76,7 @@
     (UpstreamFault.ERRORS, "lookups", None, 500, 2),
     (UpstreamFault.BUSY_AFTER_RUN, "orders", None, 502, 1),
     (UpstreamFault.BUSY_AFTER_RUN, "lookups", None, 502, 2),
+    (UpstreamFault.LARGE_ERRORS, "orders", None, 502, 1),
     (UpstreamFault.CUTS, "orders", None, 502, 1),
     (UpstreamFault.CUTS, "lookups", None, 502, 2),
     (UpstreamFault.LOSES_ANSWER, "orders", None, 502, 1),
--- a/tools/standins/platform.py
+++ b/tools/standins/platform.py
@@ -269,6 +269,7 @@
     NONE = "none"
     SHEDS = "503 with the statement that it has not run the request"
     ERRORS = "500 of its own"
+    LARGE_ERRORS = "500 with a body of a megabyte"
     BUSY_AFTER_RUN = "503 of its own, without that statement"
     CUTS = "resets the connection in the middle of the body"
     ENDS_EARLY = "closes a body without framing in the middle of an event"
@@ -347,6 +348,8 @@
         match self.fault:
             case UpstreamFault.ERRORS:
                 await call.respond(500, b"failed", marks)
+            case UpstreamFault.LARGE_ERRORS:
+                await call.respond(500, b"x" * 1_000_000, marks)
             case UpstreamFault.BUSY_AFTER_RUN:
                 await call.respond(503, b"failed", marks)
             case UpstreamFault.LOSES_ANSWER:
