--- a/src/pomelothread/gateway/admission.py
+++ b/src/pomelothread/gateway/admission.py
@@ -8,7 +8,7 @@
 from ..clock import Clock
 from ..http1.messages import Request
 from ..outcomes import NotRun, Reason
-from ..policy.crash_guard import CrashGuard, fingerprint
+from ..policy.crash_guard import CrashGuard, request_fingerprint
 from ..policy.quotas import QuotaBook
 from ..policy.waiting_order import (
     MAX_RETRY_AFTER_SHARE,
@@ -116,13 +116,13 @@
             return Failure(NotRun(Reason.UNAUTHORISED))
         if facts.request_id is None:
             return Failure(NotRun(Reason.MALFORMED_BODY, "the request has no id"))
-        print_ = fingerprint(
+        fingerprint = request_fingerprint(
             request.method,
             request.target,
             request.body,
             organisation.name if organisation else "",
         )
-        if self._crash_guard.is_refused(print_):
+        if self._crash_guard.is_refused(fingerprint):
             return Failure(NotRun(Reason.CONVICTED, retry_after_s=CRASHER_RETRY_S))
         if self._state.refuses_new:
             return Failure(NotRun(Reason.SHUTTING_DOWN, retry_after_s=SOON_S))
@@ -131,7 +131,7 @@
             if not self._quotas.try_take(organisation.name, units, arrived_s):
                 return Failure(self._over_quota(organisation, facts, arrived_s))
         job = self._make_job(
-            request, facts, arrived_s, configuration, route, organisation, print_
+            request, facts, arrived_s, configuration, route, organisation, fingerprint
         )
         self._state.retry_budget(job.service).earn()
         return Success(job)
@@ -154,7 +154,7 @@
         configuration: Configuration,
         route: Route,
         organisation: Organisation | None,
-        print_: str,
+        fingerprint: str,
     ) -> Job:
         destinations = route.destinations
         service = self._random.choices(
@@ -182,7 +182,7 @@
             organisation,
             waiting,
             configuration.version,
-            print_,
+            fingerprint,
             last_event_id=facts.last_event_id,
         )
 
--- a/src/pomelothread/gateway/crashes.py
+++ b/src/pomelothread/gateway/crashes.py
@@ -44,17 +44,17 @@
     def note_refused_connection(self, upstream_id: str, now_s: float) -> None:
         """Record that an upstream does not listen, and tell others."""
         changed = self._guard.note_refused_connection(upstream_id, now_s)
-        for print_, upstream_ids in changed.items():
+        for fingerprint, upstream_ids in changed.items():
             log_event(
                 _log,
                 Event.CRASH_COUNTED,
-                fingerprint=print_,
+                fingerprint=fingerprint,
                 upstream=upstream_id,
                 n_crashes=len(upstream_ids),
-                refused=self._guard.is_refused(print_),
+                refused=self._guard.is_refused(fingerprint),
             )
-            self.to_tell[print_] = sorted(upstream_ids)
-            task = asyncio.ensure_future(self._write(print_, sorted(upstream_ids)))
+            self.to_tell[fingerprint] = sorted(upstream_ids)
+            task = asyncio.ensure_future(self._write(fingerprint, sorted(upstream_ids)))
             self._writing.add(task)
             task.add_done_callback(self._writing.discard)
 
@@ -76,8 +76,8 @@
 
     def hear(self, told: dict[str, list[str]]) -> None:
         """Take in what a peer tells."""
-        for print_, upstream_ids in told.items():
-            self._guard.merge(print_, upstream_ids)
+        for fingerprint, upstream_ids in told.items():
+            self._guard.merge(fingerprint, upstream_ids)
 
     def take_untold(self) -> dict[str, list[str]]:
         """Return what peers have not been told yet."""
@@ -88,8 +88,8 @@
         """Return what a beat tells."""
         return self._guard.newest(MAX_TOLD)
 
-    async def _write(self, print_: str, upstream_ids: list[str]) -> None:
-        if not await self._append(print_, msgspec.json.encode(upstream_ids)):
+    async def _write(self, fingerprint: str, upstream_ids: list[str]) -> None:
+        if not await self._append(fingerprint, msgspec.json.encode(upstream_ids)):
             # Peers know it from the message; only a loss of all processes at
             # once would forget it.
-            log_event(_log, Event.CRASH_NOT_STORED, fingerprint=print_)
+            log_event(_log, Event.CRASH_NOT_STORED, fingerprint=fingerprint)
--- a/src/pomelothread/policy/crash_guard.py
+++ b/src/pomelothread/policy/crash_guard.py
@@ -20,7 +20,9 @@
 FINGERPRINT_BYTES = 12
 
 
-def fingerprint(method: bytes, target: bytes, body: bytes, organisation: str) -> str:
+def request_fingerprint(
+    method: bytes, target: bytes, body: bytes, organisation: str
+) -> str:
     """Return what identifies a request that comes again.
 
     Parameters
@@ -65,15 +67,15 @@
         self._crashed: OrderedDict[str, frozenset[str]] = OrderedDict()
         self._cuts: dict[str, list[tuple[float, str]]] = {}
 
-    def is_refused(self, print_: str) -> bool:
+    def is_refused(self, fingerprint: str) -> bool:
         """Tell whether a request is no longer sent to any upstream."""
-        return len(self._crashed.get(print_, ())) >= N_CRASHES_TO_REFUSE
+        return len(self._crashed.get(fingerprint, ())) >= N_CRASHES_TO_REFUSE
 
-    def note_cut(self, print_: str, upstream_id: str, now_s: float) -> None:
+    def note_cut(self, fingerprint: str, upstream_id: str, now_s: float) -> None:
         """Record that a connection ended while a request was at an upstream."""
         cuts = self._cuts.setdefault(upstream_id, [])
         cuts[:] = [cut for cut in cuts if now_s - cut[0] < CRASH_EVIDENCE_S]
-        cuts.append((now_s, print_))
+        cuts.append((now_s, fingerprint))
 
     def note_refused_connection(
         self, upstream_id: str, now_s: float
@@ -94,22 +96,24 @@
             have crashed under them; to be told to other instances.
         """
         changed: dict[str, frozenset[str]] = {}
-        for cut_s, print_ in self._cuts.pop(upstream_id, []):
+        for cut_s, fingerprint in self._cuts.pop(upstream_id, []):
             if now_s - cut_s < CRASH_EVIDENCE_S:
-                known = self._crashed.get(print_, frozenset())
+                known = self._crashed.get(fingerprint, frozenset())
                 if upstream_id not in known:
-                    self.merge(print_, (upstream_id,))
-                    changed[print_] = self._crashed[print_]
+                    self.merge(fingerprint, (upstream_id,))
+                    changed[fingerprint] = self._crashed[fingerprint]
         return changed
 
-    def merge(self, print_: str, upstream_ids: Iterable[str]) -> None:
+    def merge(self, fingerprint: str, upstream_ids: Iterable[str]) -> None:
         """Take in what another instance has seen."""
-        known = self._crashed.pop(print_, frozenset())
-        self._crashed[print_] = known | frozenset(upstream_ids)
+        known = self._crashed.pop(fingerprint, frozenset())
+        self._crashed[fingerprint] = known | frozenset(upstream_ids)
         if len(self._crashed) > MAX_FINGERPRINTS:
             self._crashed.popitem(last=False)
 
     def newest(self, n_most: int) -> dict[str, list[str]]:
         """Return the fingerprints that were changed last."""
         prints = list(self._crashed)[-n_most:]
-        return {print_: sorted(self._crashed[print_]) for print_ in prints}
+        return {
+            fingerprint: sorted(self._crashed[fingerprint]) for fingerprint in prints
+        }
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -13,7 +13,7 @@
     second_gateway,
 )
 
-from pomelothread.policy.crash_guard import fingerprint
+from pomelothread.policy.crash_guard import request_fingerprint
 from pomelothread.policy.upstream_choice import N_AHEAD
 from standins.platform import UpstreamFault
 
@@ -343,8 +343,8 @@
 
 async def test_a_new_process_knows_the_requests_that_crash_upstreams():
     async with gateway_rig() as rig:
-        print_ = fingerprint(b"POST", b"/drafts/1", b"{}", "club")
-        rig.store.put("keyed.crashes", print_, ["a", "b", "c"])
+        fingerprint = request_fingerprint(b"POST", b"/drafts/1", b"{}", "club")
+        rig.store.put("keyed.crashes", fingerprint, ["a", "b", "c"])
         rig.store.put("keyed.crashes", "other", b"no list")
         while (await rig.call("/drafts/1", tokens=TOKENS)).status != 503:
             await asyncio.sleep(0.01)
