Use no part of the tolerance at once after a start

Cause: let new processes use 0.35 of the tolerated slack at once, without knowing what was admitted before. Ruled out: messages between gateways, which had all heard each other.

--- a/src/pomelothread/policy/quotas.py
+++ b/src/pomelothread/policy/quotas.py
@@ -21,7 +21,6 @@
 # admit before they hear of each other, and what a restart forgets.
 OVER_SHARE = 0.5
 SLACK_SHARE = 0.6
-START_SLACK_SHARE = 0.35
 
 
 @dataclass(frozen=True, slots=True)
@@ -211,10 +210,8 @@
         whole = quota.rate_per_s * tolerance.window_s + quota.burst_units
         known_share = (now_s - self._started_s) / (tolerance.window_s + SLOT_S)
         if known_share < 1.0:
-            # What was admitted before the start is not known: callers that used
-            # their whole quota then may use the rest of the tolerance now.
-            at_once = START_SLACK_SHARE * tolerance.slack_units
-            return (whole * known_share + at_once) * self._own_share(now_s)
+            # What was admitted before the start is not known.
+            return whole * known_share * self._own_share(now_s)
         tolerated = (
             whole * OVER_SHARE * tolerance.over_ratio
             + SLACK_SHARE * tolerance.slack_units
