Leave alone upstreams that say they leave or ask for rest

Cause: the gateway learned of a leaving upstream from the platform's list alone, and took a 503 with Retry-After for one more failure. An upstream now says in all its answers that it leaves, and may ask for rest beside a 503.

The first such answer counts for that start of the upstream, whatever the list says later; peers are told with the next message and each beat. A rest is kept until its end, also by requests that were connecting to the upstream. A request that no upstream will take before it has to be given up is refused at once, with the earliest time that helps its caller.

Ruled out: telling peers of rests, which are each gateway's own; a limit on long rests, which upstreams are free to ask for.

--- a/src/pomelothread/events.py
+++ b/src/pomelothread/events.py
@@ -319,6 +319,23 @@
         "upstream %(upstream)s gets no requests for %(rest_s)s s after "
         "%(n_failures)s failures in a row",
     )
+    UPSTREAM_SAID_TO_LEAVE = (
+        844,
+        logging.INFO,
+        "upstream %(upstream)s says that it leaves, in its response to request "
+        "%(request_id)s",
+    )
+    UPSTREAM_ASKED_FOR_REST = (
+        845,
+        logging.WARNING,
+        "upstream %(upstream)s declined request %(request_id)s and asks for no others "
+        "for %(rest_s)s s",
+    )
+    UPSTREAM_TOLD_TO_LEAVE = (
+        846,
+        logging.INFO,
+        "gateway %(peer)s tells that upstream %(upstream)s leaves",
+    )
     GATEWAY_PEER_UP = (850, logging.INFO, "gateway %(peer)s at %(address)s is up")
     GATEWAY_PEER_SILENT = (
         851,
--- a/src/pomelothread/gateway/attempt.py
+++ b/src/pomelothread/gateway/attempt.py
@@ -1,11 +1,13 @@
 """One attempt: a request sent to one upstream, and its response relayed."""
 
 import asyncio
+import logging
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
 from ..clock import Clock
+from ..events import Event, log_event
 from ..http1.client import ConnectionPool, EndOfBody, Exchange, ExchangeFault
 from ..http1.messages import Headers, ResponseHead, end_to_end, header
 from ..http1.server import Responder
@@ -16,12 +18,16 @@
     Delivered,
     FailedResponse,
     Unsent,
+    Withheld,
 )
 from ..policy.upstream_speed import nominal_first_event_s, predict_first_event_s
-from .dialect import Dialect
+from .dialect import Dialect, ResponseFacts
 from .events_of_stream import EventSplitter
 from .jobs import Job
 from .queue import Lease, UpstreamQueue
+from .upstreams import UpstreamTable
+
+_log = logging.getLogger(__name__)
 
 # A whole response up to this size is read before its head is passed on, so
 # that a broken one can still be repeated or answered with a failure.
@@ -81,6 +87,8 @@
         Connections to upstreams.
     queue : UpstreamQueue
         Learns when the prompt has been read.
+    upstreams : UpstreamTable
+        Learns which upstreams leave.
     clock : Clock
         Source of time.
     claim_repeat : callable
@@ -98,6 +106,7 @@
         "_queue",
         "_responder",
         "_sent_s",
+        "_upstreams",
         "first_event_s",
         "has_first_event",
         "held_failure",
@@ -113,6 +122,7 @@
         dialect: Dialect,
         pool: ConnectionPool,
         queue: UpstreamQueue,
+        upstreams: UpstreamTable,
         clock: Clock,
         claim_repeat: Callable[[], bool],
     ) -> None:
@@ -123,6 +133,7 @@
         self._dialect = dialect
         self._pool = pool
         self._queue = queue
+        self._upstreams = upstreams
         self._clock = clock
         self._sent_s = 0.0
         self.has_first_event = False
@@ -141,6 +152,9 @@
         if isinstance(connection, ExchangeFault):
             return Unsent()
         self._sent_s = self._clock.monotonic_s()
+        if not self._is_still_wanted():
+            self._pool.release(listing.address, connection)
+            return Withheld()
         request = self._dialect.forwarded_request(
             job.request,
             left_s=job.left_s(self._sent_s),
@@ -173,6 +187,7 @@
         self.status = head.status
         self._lease.upstream.heard_s = self._clock.monotonic_s()
         facts = self._dialect.read_response(head)
+        self._note_wishes(facts)
         if facts.was_not_run:
             return Declined()
         if not 200 <= head.status < 300:
@@ -183,6 +198,35 @@
             return await self._relay_events(exchange, head)
         return await self._relay_body(exchange, head)
 
+    def _is_still_wanted(self) -> bool:
+        """Tell whether the upstream takes requests, after the time to connect."""
+        upstream = self._lease.upstream
+        return not upstream.is_leaving and self._sent_s >= upstream.health.asked_until_s
+
+    def _note_wishes(self, facts: ResponseFacts) -> None:
+        """Record that the upstream leaves, or asks for no further requests."""
+        listing = self._lease.upstream.listing
+        if facts.is_leaving and facts.is_other_upstream:
+            self._upstreams.note_departure_at(listing.address, listing.upstream_id)
+        elif facts.is_leaving and self._upstreams.note_departure(listing.start):
+            self._queue.load_changed.set()
+            log_event(
+                _log,
+                Event.UPSTREAM_SAID_TO_LEAVE,
+                upstream=listing.upstream_id,
+                request_id=self._job.request_id,
+            )
+        if facts.rest_s and not facts.is_other_upstream:
+            now_s = self._clock.monotonic_s()
+            self._lease.upstream.health.grant_rest(now_s, facts.rest_s)
+            log_event(
+                _log,
+                Event.UPSTREAM_ASKED_FOR_REST,
+                upstream=listing.upstream_id,
+                request_id=self._job.request_id,
+                rest_s=round(facts.rest_s, 3),
+            )
+
     async def _hold_failure(self, exchange: Exchange, head: ResponseHead) -> AttemptEnd:
         body = await self._read_held(exchange)
         if not isinstance(body, bytes):
--- a/src/pomelothread/gateway/dialect.py
+++ b/src/pomelothread/gateway/dialect.py
@@ -60,11 +60,17 @@
         Whether the upstream states that it has not run the request.
     is_other_upstream : bool
         Whether another upstream has the address now.
+    is_leaving : bool
+        Whether the upstream that responds says that it leaves.
+    rest_s : float or None
+        Seconds for which it asks for no further request.
     """
 
     is_genuine: bool
     was_not_run: bool
     is_other_upstream: bool
+    is_leaving: bool
+    rest_s: float | None
 
 
 class Dialect(Protocol):
@@ -108,10 +114,6 @@
         """Decode what the head of a response says."""
         ...
 
-    def unmarked(self, headers: Headers) -> Headers:
-        """Return headers without the upstream's mark of a genuine response."""
-        ...
-
     def refusal(
         self, outcome: NotRun | NotKnown, request_id: bytes | None
     ) -> tuple[int, Headers, bytes]:
--- a/src/pomelothread/gateway/forwarding.py
+++ b/src/pomelothread/gateway/forwarding.py
@@ -30,6 +30,7 @@
     RepeatFacts,
     TryAnother,
     Unsent,
+    Withheld,
     after_attempt,
     give_up,
 )
@@ -147,7 +148,7 @@
             lease = await self._queue.acquire(job)
             if isinstance(lease, NoSlot):
                 step = self._without_slot(job, lease, responder)
-                return self._conclude(job, step, responder, None)
+                return self._conclude(job, step, responder, None, lease.rests_for_s)
             attempt = Attempt(
                 job,
                 lease,
@@ -155,6 +156,7 @@
                 self._dialect,
                 self._pool,
                 self._queue,
+                self._upstreams,
                 self._clock,
                 partial(self._claim_repeat, job, responder),
             )
@@ -200,7 +202,7 @@
             return step
         # Without a repeat left, the same end is final.
         no_more = replace(facts, max_attempts=facts.n_sent)
-        if isinstance(end, Unsent):
+        if isinstance(end, Unsent | Withheld):
             return give_up(no_more, Reason.NO_UPSTREAM)
         return after_attempt(end, no_more)
 
@@ -233,8 +235,12 @@
         step: NextStep,
         responder: Responder,
         attempt: Attempt | None,
+        rests_for_s: float = 0.0,
     ) -> str:
-        """Give the final answer and return its name for the logs."""
+        """Give the final answer and return its name for the logs.
+
+        `rests_for_s` is the time until an upstream may take a request again.
+        """
         now_s = self._clock.monotonic_s()
         match step:
             case Finished():
@@ -245,7 +251,9 @@
                 responder.abort()
                 return "cut"
             case AnswerNotRun(reason):
-                wait_s = retry_after_s(job.waiting, now_s, self._random.random())
+                wait_s = retry_after_s(
+                    job.waiting, now_s, self._random.random(), rests_for_s
+                )
                 refusal = NotRun(reason, retry_after_s=wait_s)
                 self._refuse(responder, job.facts, refusal, job.waiting.arrived_s)
                 return "not run"
@@ -319,6 +327,9 @@
                 if not job.route.is_streaming:
                     upstream.speed.observe_response(now_s - sent_s)
                 return
+            case Withheld():
+                upstream.health.observe_cancelled()
+                return
             case Unsent():
                 self._crashes.note_refused_connection(
                     upstream.listing.upstream_id, now_s
--- a/src/pomelothread/gateway/peers.py
+++ b/src/pomelothread/gateway/peers.py
@@ -39,6 +39,8 @@
 # Peers that one message names at most. With all else it fits into a datagram of
 # 1,400 bytes for 30 upstreams.
 MAX_NAMED = 40
+# Upstreams that one message names as leaving at most.
+MAX_LEAVING = 16
 # Peers that get a rumour with each beat of a fleet of several cells.
 N_RUMOURS = 2
 
@@ -87,6 +89,9 @@
     far_used : dict of str to float
         Quota units that other cells have admitted since the sender was started,
         from the speaker of a cell.
+    leaving : list of (str, int)
+        Upstreams that have said that they leave, with the Unix time of their
+        start in milliseconds.
     """
 
     incarnation: str
@@ -99,6 +104,7 @@
     crashes: dict[str, list[str]] = {}
     uptime_s: float = math.inf
     far_used: dict[str, float] = {}
+    leaving: list[tuple[str, int]] = []
 
 
 class Rumour(msgspec.Struct, array_like=True, tag="rumour"):
--- a/src/pomelothread/gateway/process.py
+++ b/src/pomelothread/gateway/process.py
@@ -210,7 +210,7 @@
     def is_leaving(self, upstream_id: str) -> bool:
         """Tell whether an upstream is known to be leaving or gone."""
         upstream = self._upstreams.get(upstream_id)
-        return upstream is None or upstream.listing.is_leaving
+        return upstream is None or upstream.is_leaving
 
     def stop(self) -> None:
         """Begin the graceful stop, as SIGTERM does."""
--- a/src/pomelothread/gateway/queue.py
+++ b/src/pomelothread/gateway/queue.py
@@ -9,6 +9,7 @@
     Wanted,
     choose_upstream,
     has_free_slot,
+    may_take_from_s,
     shortest_start_s,
     usable,
 )
@@ -55,9 +56,12 @@
     ----------
     had_upstream : bool
         Whether there was any upstream that could have taken it.
+    rests_for_s : float
+        Seconds until an upstream may take a request again, if all of them rest.
     """
 
     had_upstream: bool
+    rests_for_s: float = 0.0
 
 
 @dataclass(slots=True)
@@ -175,9 +179,12 @@
             return
         self._recheck_later()
         upstreams = self._table.of_service(service)
+        now_s = self._clock.monotonic_s()
+        if may_take_from_s(upstreams, frozenset()) > now_s:
+            self._give_up_before_rests_end(service, now_s)
+            return
         if not has_free_slot(upstreams):
             return
-        now_s = self._clock.monotonic_s()
         tickets.sort(
             key=lambda ticket: place_in_queue(
                 ticket.job.waiting,
@@ -196,6 +203,17 @@
                 if not has_free_slot(upstreams):
                     return
 
+    def _give_up_before_rests_end(self, service: str, now_s: float) -> None:
+        """Refuse at once what cannot wait until an upstream ends its rest."""
+        upstreams = self._table.of_service(service)
+        for ticket in list(self._tickets[service]):
+            from_s = may_take_from_s(upstreams, frozenset(ticket.job.tried))
+            if from_s > gives_up_at_s(ticket.job.waiting):
+                self._tickets[service].remove(ticket)
+                if not ticket.granted.done():
+                    no_slot = NoSlot(had_upstream=True, rests_for_s=from_s - now_s)
+                    ticket.granted.set_result(no_slot)
+
     def note_first_event(self, lease: Lease) -> None:
         """Count the prompt of a lease as read."""
         lease.upstream.n_pending_tokens -= lease.n_prompt_tokens
--- a/src/pomelothread/gateway/reports.py
+++ b/src/pomelothread/gateway/reports.py
@@ -9,11 +9,13 @@
 from ..addresses import Address
 from ..clock import Clock
 from ..events import Event, log_event
+from ..policy.departures import UpstreamStart
 from ..policy.quotas import QuotaBook
 from .crashes import CrashBook
 from .peers import (
     BEAT_S,
     COALESCE_S,
+    MAX_LEAVING,
     MAX_NAMED,
     N_RUMOURS,
     LoadReport,
@@ -132,6 +134,7 @@
             hosts = self._hosts_to_name()
             far_used = self._far_used()
             crashes = self._crashes.for_beat()
+            leaving = self._upstreams.newest_departures(MAX_LEAVING)
         else:
             loads = [
                 LoadReport(k, *current.get(k, (0, 0)))
@@ -141,8 +144,9 @@
             hosts = []
             far_used = {}
             crashes = self._crashes.take_untold()
+            leaving = self._upstreams.untold_departures(MAX_LEAVING)
             used = {k: v for k, v in used.items() if v != self._sent_used.get(k)}
-            is_same = not loads and not used and not crashes
+            is_same = not (loads or used or crashes or leaving)
             if is_same and waiting == self._sent_waiting:
                 return None
         self._sent = current
@@ -160,6 +164,7 @@
             crashes,
             round(now_s - self._started_s, 2),
             far_used,
+            [(start.upstream_id, start.started_ms) for start in leaving],
         )
 
     def on_message(self, peer: Peer, message: PeerMessage) -> None:
@@ -180,11 +185,22 @@
             # It does not know the size of the fleet yet.
             self.link.send_rumour(self._rumour(is_question=False), peer.address)
         self._crashes.hear(message.crashes)
+        self._hear_departures(peer, message)
         named = (self._upstreams.get(upstream_id) for upstream_id in peer.changed)
         self._refresh(upstream for upstream in named if upstream is not None)
         self._queue.set_peer_urgencies(self._peers.most_urgent_waiting())
         self._queue.serve_all()
 
+    def _hear_departures(self, peer: Peer, message: PeerMessage) -> None:
+        starts = (UpstreamStart(*start) for start in message.leaving)
+        for start in self._upstreams.hear_departures(starts):
+            log_event(
+                _log,
+                Event.UPSTREAM_TOLD_TO_LEAVE,
+                upstream=start.upstream_id,
+                peer=peer.incarnation,
+            )
+
     def on_rumour(self, sender: Address, rumour: Rumour) -> None:
         """Take in what a peer of another cell tells."""
         if rumour.cell_used:
--- a/src/pomelothread/gateway/upstreams.py
+++ b/src/pomelothread/gateway/upstreams.py
@@ -5,6 +5,7 @@
 
 from ..addresses import Address
 from ..policy.cells import n_parts_for, name_hash
+from ..policy.departures import DepartureBook, UpstreamStart
 from ..policy.upstream_health import HealthRecord
 from ..policy.upstream_speed import SpeedEstimate
 
@@ -39,6 +40,11 @@
     is_leaving: bool
     started_ms: int
 
+    @property
+    def start(self) -> UpstreamStart:
+        """The start of the upstream that this is about."""
+        return UpstreamStart(self.upstream_id, self.started_ms)
+
 
 @dataclass(slots=True)
 class Upstream:
@@ -64,6 +70,8 @@
         Monotonic time of the newest event of a stream.
     n_sharing : int
         Cells of gateways that use it without hearing each other.
+    has_said_to_leave : bool
+        Whether one of its own responses said that it leaves.
     """
 
     listing: UpstreamListing
@@ -77,6 +85,16 @@
     free_since_s: float = 0.0
     heard_s: float = 0.0
     n_sharing: int = 1
+    has_said_to_leave: bool = False
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether it takes no new requests, by the list or by its own word."""
+        return self.listing.is_leaving or self.has_said_to_leave
+
+    def may_take(self, now_s: float) -> bool:
+        """Tell whether it may get a request now, if it has a free slot."""
+        return not self.is_leaving and self.health.may_take(now_s)
 
     @property
     def n_slots(self) -> int:
@@ -109,6 +127,7 @@
         "_by_id",
         "_by_service",
         "_cell",
+        "_departures",
         "_n_cells",
         "_of_cell",
         "_region",
@@ -118,6 +137,7 @@
     def __init__(self, region: str, regions: dict[str, str]) -> None:
         self._region = region
         self._regions = regions
+        self._departures = DepartureBook()
         self._by_id: dict[str, Upstream] = {}
         self._by_service: dict[str, list[Upstream]] = {}
         self._cell = 0
@@ -193,11 +213,49 @@
         if known is not None:
             self._by_service[known.listing.service].remove(known)
         region = self._regions.get(listing.failure_domain)
-        upstream = Upstream(listing, region is None or region == self._region)
+        upstream = Upstream(
+            listing,
+            region is None or region == self._region,
+            has_said_to_leave=listing.start in self._departures,
+        )
         self._by_id[listing.upstream_id] = upstream
         self._by_service.setdefault(listing.service, []).append(upstream)
         return upstream
 
+    def note_departure(self, start: UpstreamStart) -> bool:
+        """Record that a start of an upstream leaves; return whether that is new."""
+        is_new = self._departures.note(start)
+        self._mark_leaving(start)
+        return is_new
+
+    def note_departure_at(self, address: Address, other_than: str) -> None:
+        """Record that whoever has an address leaves, unless it is `other_than`."""
+        for upstream in self._by_id.values():
+            listing = upstream.listing
+            if listing.address == address and listing.upstream_id != other_than:
+                self.note_departure(listing.start)
+
+    def hear_departures(self, starts: Iterable[UpstreamStart]) -> list[UpstreamStart]:
+        """Take in departures that a peer tells of; return those that are new."""
+        unknown = self._departures.hear(starts)
+        for start in unknown:
+            self._mark_leaving(start)
+        return unknown
+
+    def untold_departures(self, n_most: int) -> list[UpstreamStart]:
+        """Return departures that peers are to be told of, once."""
+        return self._departures.take_untold(n_most)
+
+    def newest_departures(self, n_most: int) -> list[UpstreamStart]:
+        """Return the last departures of upstreams that are still listed."""
+        listed = [u.listing.start for u in self._by_id.values() if u.has_said_to_leave]
+        return listed[-n_most:]
+
+    def _mark_leaving(self, start: UpstreamStart) -> None:
+        upstream = self._by_id.get(start.upstream_id)
+        if upstream is not None and upstream.listing.start == start:
+            upstream.has_said_to_leave = True
+
     def remove(self, upstream_id: str) -> Upstream | None:
         """Remove an upstream; requests that it runs are not affected."""
         self._of_cell.clear()
--- a/src/pomelothread/platform/headers.py
+++ b/src/pomelothread/platform/headers.py
@@ -1,5 +1,7 @@
 """Headers of callers and upstreams on the platform."""
 
+import math
+
 import msgspec
 
 from ..gateway.dialect import MAX_TOKENS, CallerFacts, ResponseFacts
@@ -20,6 +22,10 @@
 _SEAL = b"x-response-seal"
 _CONTENT_ENCODING = b"content-encoding"
 _RETRY_AFTER = "Retry-After"
+# The server is about to end; "1" is the only value that says so.
+_LEAVING = b"server-leaving"
+# Beside a 503 of a server: it wants nothing from this machine for so long.
+_REST = b"retry-after"
 
 # Of the refusals of a proper request, only 429, 503, 408 and 421 are known here.
 _STATUSES = {Reason.CONVICTED: 503}
@@ -100,12 +106,10 @@
             was_not_run=header(head.headers, _NOT_RUN) is not None
             or head.status == 421,
             is_other_upstream=head.status == 421,
+            is_leaving=header(head.headers, _LEAVING) == b"1",
+            rest_s=_number(header(head.headers, _REST)) if head.status == 503 else None,
         )
 
-    def unmarked(self, headers: Headers) -> Headers:
-        """Return headers without the upstream's mark of a genuine response."""
-        return tuple((name, value) for name, value in headers if name != _SEAL)
-
     def refusal(
         self, outcome: NotRun | NotKnown, request_id: bytes | None
     ) -> tuple[int, Headers, bytes]:
@@ -134,7 +138,7 @@
     except msgspec.MsgspecError:
         # A header that is no number says nothing; the defaults hold.
         return None
-    return number if number >= 0 else None
+    return number if 0 <= number < math.inf else None
 
 
 def _pair(value: bytes | None) -> tuple[int, int] | None:
--- a/src/pomelothread/policy/repeats.py
+++ b/src/pomelothread/policy/repeats.py
@@ -13,6 +13,11 @@
     """No byte of the request has reached an upstream."""
 
 
+@dataclass(frozen=True, slots=True)
+class Withheld:
+    """Nothing was sent, as the upstream leaves or rests since it was chosen."""
+
+
 @dataclass(frozen=True, slots=True)
 class Declined:
     """The upstream states that it has not run the request."""
@@ -47,7 +52,7 @@
     """The caller has the whole response."""
 
 
-AttemptEnd = Unsent | Declined | Broken | FailedResponse | Delivered
+AttemptEnd = Unsent | Withheld | Declined | Broken | FailedResponse | Delivered
 
 
 @dataclass(frozen=True, slots=True)
@@ -150,7 +155,7 @@
     match end:
         case Delivered():
             return Finished()
-        case Unsent():
+        case Unsent() | Withheld():
             return TryAnother() if has_time else give_up(facts, Reason.NO_UPSTREAM)
         case Declined():
             if has_attempts and has_time:
--- a/src/pomelothread/policy/upstream_choice.py
+++ b/src/pomelothread/policy/upstream_choice.py
@@ -72,12 +72,36 @@
     return [
         upstream
         for upstream in upstreams
-        if not upstream.listing.is_leaving
-        and upstream.listing.upstream_id not in wanted.tried
-        and upstream.health.may_take(now_s)
+        if upstream.may_take(now_s) and upstream.listing.upstream_id not in wanted.tried
     ]
 
 
+def may_take_from_s(upstreams: Iterable[Upstream], tried: frozenset[str]) -> float:
+    """Return when the first upstream ends its rest.
+
+    Parameters
+    ----------
+    upstreams : iterable of Upstream
+        All of the service.
+    tried : frozenset of str
+        Upstreams that have had the request.
+
+    Returns
+    -------
+    float
+        Monotonic time in seconds; in the past if any may take a request, or if
+        there is none to wait for: another one may be listed at any time.
+    """
+    return min(
+        (
+            upstream.health.may_take_from_s
+            for upstream in upstreams
+            if not upstream.is_leaving and upstream.listing.upstream_id not in tried
+        ),
+        default=0.0,
+    )
+
+
 def choose_upstream(
     candidates: Sequence[Upstream], wanted: Wanted, random_source: random.Random
 ) -> Upstream | None:
@@ -153,7 +177,7 @@
         (
             predict_first_event_s(u.speed, wanted.n_prompt_tokens, 0)
             for u in upstreams
-            if not u.listing.is_leaving
+            if not u.is_leaving
         ),
         default=0.0,
     )
--- a/src/pomelothread/policy/upstream_health.py
+++ b/src/pomelothread/policy/upstream_health.py
@@ -41,6 +41,8 @@
         Rests since the last success.
     is_on_trial : bool
         Whether one request after a rest is still out.
+    asked_until_s : float
+        Monotonic time until which the upstream itself has asked for no request.
     """
 
     failure_share: float = 0.0
@@ -48,6 +50,24 @@
     rests_until_s: float = 0.0
     n_rests: int = 0
     is_on_trial: bool = False
+    asked_until_s: float = 0.0
+
+    @property
+    def may_take_from_s(self) -> float:
+        """Monotonic time from which it may get requests."""
+        return max(self.rests_until_s, self.asked_until_s)
+
+    def grant_rest(self, now_s: float, rest_s: float) -> None:
+        """Record that the upstream has asked for no request for some time.
+
+        Parameters
+        ----------
+        now_s : float
+            Monotonic time.
+        rest_s : float
+            Seconds; a shorter one does not end a longer one.
+        """
+        self.asked_until_s = max(self.asked_until_s, now_s + rest_s)
 
     def observe_success(self) -> None:
         """Record a complete response."""
@@ -90,7 +110,7 @@
 
     def may_take(self, now_s: float) -> bool:
         """Tell whether it may get a request now."""
-        return now_s >= self.rests_until_s and not self.is_on_trial
+        return now_s >= self.may_take_from_s and not self.is_on_trial
 
     def observe_sent(self, now_s: float) -> None:
         """Record that a request was sent; the first one after a rest is a trial."""
--- a/src/pomelothread/policy/waiting_order.py
+++ b/src/pomelothread/policy/waiting_order.py
@@ -154,7 +154,9 @@
     return facts.arrived_s + MAX_WAIT_SHARE * (facts.leaves_at_s - facts.arrived_s)
 
 
-def retry_after_s(facts: WaitingFacts, now_s: float, spread: float) -> float:
+def retry_after_s(
+    facts: WaitingFacts, now_s: float, spread: float, not_before_s: float = 0.0
+) -> float:
     """Return when a refused caller should come back.
 
     Parameters
@@ -165,6 +167,8 @@
         Monotonic time.
     spread : float
         Random number from 0 to 1, so that callers do not return together.
+    not_before_s : float
+        Seconds until an upstream may take a request again.
 
     Returns
     -------
@@ -172,5 +176,5 @@
         Seconds, at most a third of what the caller has left.
     """
     longest_s = MAX_RETRY_AFTER_SHARE * max(0.0, facts.deadline_at_s - now_s)
-    shortest_s = min(MIN_RETRY_AFTER_S, longest_s)
+    shortest_s = min(max(MIN_RETRY_AFTER_S, not_before_s), longest_s)
     return shortest_s + (longest_s - shortest_s) * (0.5 + 0.5 * spread)
--- a/tests/test_platform_boundary.py
+++ b/tests/test_platform_boundary.py
@@ -16,6 +16,7 @@
     "x-response-seal",
     "x-not-executed",
     "x-tenant",
+    "server-leaving",
     "api-key",
     "api_keys",
     "target_latency_ms",
--- a/tools/standins/platform.py
+++ b/tools/standins/platform.py
@@ -321,8 +321,12 @@
         self.n_events = n_events
         self.event_s = event_s
         self.fault = UpstreamFault.NONE
+        # Headers of all its responses, such as that it leaves.
+        self.extra_headers: dict[str, str] = {}
+        self.started_ms = 1_700_000_000_000
         self.ran: list[Call] = []
         self.n_left = 0
+        self.n_shed = 0
         self.may_go_on = asyncio.Event()
         self.may_go_on.set()
         self.http = HttpStandIn(self._handle)
@@ -338,16 +342,19 @@
             "state": state,
             "cold_left_ms": 0,
             "seq": 1,
-            "born": 1_700_000_000_000,
+            "born": self.started_ms,
         }
 
     async def _handle(self, call: Call) -> None:
         expected = call.headers.get("x-expect-instance")
         if expected not in (None, self.upstream_id):
-            await call.respond(421, headers={"X-Instance-Id": self.upstream_id})
+            named = {"X-Instance-Id": self.upstream_id}
+            await call.respond(421, headers=named | self.extra_headers)
             return
         if self.fault is UpstreamFault.SHEDS:
-            await call.respond(503, headers={"X-Not-Executed": "1"})
+            self.n_shed += 1
+            not_run = {"X-Not-Executed": "1"}
+            await call.respond(503, headers=not_run | self.extra_headers)
             return
         self.ran.append(call)
         await self._run(call)
@@ -356,6 +363,7 @@
         marks = {
             "X-Attempt-Id": call.headers.get("x-attempt-id", ""),
             "X-Response-Seal": f"seal.{self.upstream_id}",
+            **self.extra_headers,
         }
         match self.fault:
             case UpstreamFault.ERRORS:
