--- a/tools/soak_plan.py
+++ b/tools/soak_plan.py
@@ -123,11 +123,18 @@
     LinkFault.ONE_WAY,
     LinkFault.REFUSES,
 )
+_ENDLESS_FAULTS = (
+    UpstreamFault.ENDLESS_HEAD,
+    UpstreamFault.ENDLESS_BODY,
+    UpstreamFault.DRIPS,
+)
 _UPSTREAM_FAULTS = tuple(
     fault
     for fault in UpstreamFault
-    if fault not in (UpstreamFault.NONE, UpstreamFault.CRASHES)
+    if fault not in (UpstreamFault.NONE, UpstreamFault.CRASHES, *_ENDLESS_FAULTS)
 )
+# Mean time between two upstreams that send bytes without end.
+ENDLESS_GAP_S = 5.0
 
 
 def plan_soak(seed: int, duration_s: float) -> list[PlannedFault]:
@@ -156,6 +163,22 @@
     while at_s < duration_s:
         plan.append(PlannedFault(round(at_s, 2), _draw(source)))
         at_s += source.expovariate(1.0 / MEAN_GAP_S)
+    plan += _plan_endless(seed, duration_s)
+    return sorted(plan, key=lambda planned: planned.at_s)
+
+
+def _plan_endless(seed: int, duration_s: float) -> list[PlannedFault]:
+    """Draw from a source of their own, so that the other faults stay the same."""
+    source = random.Random(f"endless {seed}")
+    plan = []
+    at_s = FIRST_S + source.expovariate(1.0 / ENDLESS_GAP_S)
+    while at_s < duration_s:
+        upstream = source.randrange(N_ENGINES + N_DESKS)
+        fault = source.choice(_ENDLESS_FAULTS)
+        for_s = round(source.uniform(0.3, 3.0), 2)
+        trouble = UpstreamTrouble(upstream, fault, for_s)
+        plan.append(PlannedFault(round(at_s, 2), trouble))
+        at_s += source.expovariate(1.0 / ENDLESS_GAP_S)
     return plan
 
 
--- a/tools/standins/platform.py
+++ b/tools/standins/platform.py
@@ -275,6 +275,23 @@
         await call.respond(200, msgspec.json.encode(answer))
 
 
+_FILLER = b"a" * 16_000
+# Keeps an endless answer from taking the whole time of the stand-ins.
+_FILLER_PAUSE_S = 0.02
+
+
+async def _send_without_end(
+    call: Call, marks: dict[str, str], first: bytes, again: bytes
+) -> None:
+    """Send bytes until the caller closes."""
+    lines = "".join(f"{name}: {value}\r\n" for name, value in marks.items())
+    call.writer.write(f"HTTP/1.1 200 OK\r\n{lines}".encode() + first)
+    while not call.writer.is_closing():
+        call.writer.write(again)
+        await call.writer.drain()
+        await asyncio.sleep(_FILLER_PAUSE_S)
+
+
 class UpstreamFault(Enum):
     """What an upstream does wrong."""
 
@@ -292,6 +309,9 @@
     UNFRAMED = "sends a whole body without framing"
     UNMARKED = "sends a response without its mark"
     CRASHES = "stops listening as it begins to run the request"
+    ENDLESS_HEAD = "sends headers without end"
+    ENDLESS_BODY = "sends a body without end"
+    DRIPS = "sends a byte now and then, and never a whole answer"
 
 
 class PlatformUpstream:
@@ -384,6 +404,12 @@
                 call.writer.close()
             case UpstreamFault.UNMARKED:
                 await call.respond(200, b"whose?")
+            case UpstreamFault.ENDLESS_HEAD:
+                await _send_without_end(call, {}, b"", b"X-Filler: %s\r\n" % _FILLER)
+            case UpstreamFault.ENDLESS_BODY:
+                await _send_without_end(call, marks, b"\r\n", _FILLER)
+            case UpstreamFault.DRIPS:
+                await _send_without_end(call, marks, b"\r\nid: 1\n", b"d")
             case _ if "x-token-usage" in call.headers:
                 await self._stream(call, marks)
             case UpstreamFault.CUTS:
