Tell an outage of the store from a gateway that was cut off

A gateway that has had no answer now learns from its peers whether they had one meanwhile. If so, what is missing from the list is gone at once. Heard outages are believed only by gateways that have not heard of the store themselves.

tests/test_feed_sharing.py has both cases.

--- a/src/pomelothread/gateway/listings.py
+++ b/src/pomelothread/gateway/listings.py
@@ -79,8 +79,9 @@
     def remove_lapsed(self) -> None:
         """Remove upstreams that have not come back since the store returned."""
         now_s = self._clock.monotonic_s()
+        was_away = self.store_back_s() is not None
         for upstream_id, until_s in list(self._lapsed_until_s.items()):
-            if now_s >= until_s:
+            if now_s >= until_s or not was_away:
                 self._remove(upstream_id)
 
     def _put(self, record: KeyedRecord) -> None:
--- a/src/pomelothread/policy/feed_sharing.py
+++ b/src/pomelothread/policy/feed_sharing.py
@@ -39,17 +39,17 @@
         End of the feed at which this was the newest state.
     age_s : float
         Seconds since it was known to be the newest state.
-    back_s : float
-        Seconds since the store answered again after an outage; -1.0 if none is
-        known.
+    steady_s : float
+        Seconds since the first answer of the store, or the first one after an
+        outage.
     outage_s : float
-        How long that outage was.
+        How long that outage was; 0.0 if none is known.
     """
 
     digest: int
     offset: int
     age_s: float
-    back_s: float = -1.0
+    steady_s: float = 0.0
     outage_s: float = 0.0
 
 
@@ -121,6 +121,7 @@
         "_is_behind",
         "_offset",
         "_outage_s",
+        "_steady_since_s",
         "_times",
         "has_news",
         "rank",
@@ -134,6 +135,7 @@
         self._is_behind = False
         self._back_s: float | None = None
         self._outage_s = 0.0
+        self._steady_since_s = 0.0
         self.rank = 0
         self.has_news = False
 
@@ -157,7 +159,11 @@
 
     @property
     def back_s(self) -> float | None:
-        """Monotonic time at which the store answered again, if it was away."""
+        """Monotonic time at which the store answered again, if it was away.
+
+        None as soon as a peer is known to have read it meanwhile: then only this
+        process was cut off, and what is missing from its list is gone.
+        """
         return self._back_s
 
     def note_read(self, digest: int, offset: int, as_of_s: float) -> None:
@@ -172,6 +178,8 @@
         as_of_s : float
             Monotonic time at which nothing newer existed.
         """
+        if self._as_of_s is None:
+            self._steady_since_s = as_of_s
         self._digest, self._offset = digest, offset
         self._as_of_s = as_of_s
         self._is_behind = False
@@ -179,7 +187,8 @@
 
     def note_back(self, now_s: float, outage_s: float) -> None:
         """Record that the store answers again after an outage."""
-        self._back_s, self._outage_s = now_s, outage_s
+        self._back_s = self._steady_since_s = now_s
+        self._outage_s = outage_s
 
     def hear(self, report: FeedReport, now_s: float) -> bool:
         """Take in what a peer knows.
@@ -210,24 +219,26 @@
         return True
 
     def _hear_of_outage(self, report: FeedReport, now_s: float) -> None:
-        """Believe in an outage in which this process has not heard of the store."""
-        if report.back_s < 0.0 or report.outage_s < MIN_OUTAGE_S:
+        """Learn whether the store was away, or only one of two gateways cut off."""
+        peer_since_s = now_s - report.steady_s
+        if self._back_s is not None and peer_since_s < self._back_s - self._outage_s:
+            self._back_s = None
+        if report.outage_s < MIN_OUTAGE_S:
             return
-        back_s = now_s - report.back_s
-        if self._as_of_s is not None and self._as_of_s > back_s - report.outage_s:
+        if self._as_of_s is None or self._as_of_s > peer_since_s - report.outage_s:
             return
-        if self._back_s is None or back_s > self._back_s:
-            self._back_s, self._outage_s = back_s, report.outage_s
+        if self._back_s is None or peer_since_s > self._back_s:
+            self._back_s = self._steady_since_s = peer_since_s
+            self._outage_s = report.outage_s
 
     def report(self, now_s: float) -> FeedReport | None:
         """Return what peers are told, or None before the first read."""
         if self._as_of_s is None:
             return None
-        back_s = -1.0 if self._back_s is None else round(now_s - self._back_s, 2)
         return FeedReport(
             self._digest,
             self._offset,
             round(now_s - self._as_of_s, 2),
-            back_s,
+            round(now_s - self._steady_since_s, 2),
             round(self._outage_s, 2),
         )
--- a/tests/test_feed_sharing.py
+++ b/tests/test_feed_sharing.py
@@ -191,20 +191,62 @@
     (100.0, 6.0, 0.5, True),
     (100.0, 2.0, 0.5, False),
     (105.0, 6.0, 0.5, False),
-    (100.0, 6.0, -1.0, False),
+    (100.0, 0.0, 60.0, False),
 ]
 
 
-@pytest.mark.parametrize(("as_of_s", "outage_s", "back_s", "is_believed"), OUTAGES)
+@pytest.mark.parametrize(("as_of_s", "outage_s", "steady_s", "is_believed"), OUTAGES)
 def test_an_outage_of_the_store_is_one_in_which_nobody_has_read(
-    as_of_s, outage_s, back_s, is_believed
+    as_of_s, outage_s, steady_s, is_believed
 ):
     watch = FeedWatch(ReadingTimes(1.0, 2.0, 3.0))
     watch.note_read(7, 10, as_of_s)
-    watch.hear(FeedReport(7, 12, 0.1, back_s, outage_s), 108.0)
+    watch.hear(FeedReport(7, 12, 0.1, steady_s, outage_s), 108.0)
     assert (watch.back_s is not None) is is_believed
 
 
+# seconds for which a peer has had answers, whether it has read during an outage
+# from 100 to 108 s that this process has seen.
+PEERS_OF_AN_OUTAGE = [
+    ("steady all the time", 40.0, 0.0, False),
+    ("saw the same outage", 0.9, 7.5, True),
+    ("started meanwhile", 3.0, 0.0, True),
+    ("saw an earlier outage", 20.0, 7.5, False),
+]
+
+
+@pytest.mark.parametrize(
+    ("steady_s", "outage_s", "was_store_away"),
+    [row[1:] for row in PEERS_OF_AN_OUTAGE],
+    ids=[row[0] for row in PEERS_OF_AN_OUTAGE],
+)
+def test_a_gateway_that_was_cut_off_learns_that_the_store_was_not_away(
+    steady_s, outage_s, was_store_away
+):
+    watch = FeedWatch(ReadingTimes(1.0, 2.0, 3.0))
+    watch.note_read(7, 10, 99.5)
+    watch.note_back(108.0, 8.0)
+    watch.note_read(7, 20, 108.0)
+    watch.hear(FeedReport(7, 21, 0.1, steady_s, outage_s), 108.4)
+    assert (watch.back_s is not None) is was_store_away
+
+
+def test_what_is_missing_after_a_cut_is_gone_as_soon_as_a_peer_was_not_cut():
+    # Seen on stp-pomelo-large scale-2: gateways that had been cut off kept upstreams
+    # that had left meanwhile until 5 s after their return.
+    table, clock = UpstreamTable("r", {}), SystemClock()
+    book = ListingBook(table, clock, listing, lambda gone: None)
+    back_s = clock.monotonic_s()
+    book.store_back_s = lambda: back_s
+    book.apply(KeyedRecord("a", b"ready 1"))
+    book.apply(KeyedRecord("a", None))
+    book.remove_lapsed()
+    assert table.get("a") is not None
+    book.store_back_s = lambda: None
+    book.remove_lapsed()
+    assert table.get("a") is None
+
+
 def test_gateways_agree_on_their_order():
     keys = [(n * 37 % 11, f"10.0.0.{n}") for n in range(20)]
     ranks = [rank_among(key, (k for k in keys if k != key)) for key in keys]
