Let gateways that have just started join their cell at once

Cause: a gateway that starts in a fleet of several cells counted the fleet for itself.

A newcomer takes the division from the first message that tells it, tells its cell of itself, and is told the whole load within 0.2 s. Cells are merged only if a fleet a fifth larger would have as few: 67 and 68 gateways are on two sides of a boundary, and the large deployment has 68.

--- a/src/pomelothread/gateway/peers.py
+++ b/src/pomelothread/gateway/peers.py
@@ -37,9 +37,19 @@
 # Cells are merged only if the fleet has been smaller for this long: gateways do
 # not count each other at the same moment, and restart together at times.
 MERGE_AFTER_S = 10.0
+# They are merged only if a fleet larger by this would have fewer cells, too, so
+# that a fleet at the boundary does not go back and forth as gateways come and go.
+MERGE_MARGIN = 1.2
 # Peers that one message names at most. With all else it fits into a datagram of
 # 1,400 bytes for 30 upstreams.
 MAX_NAMED = 40
+# Cells that a peer may tell of; the largest fleet has 16.
+MAX_CELLS = 64
+# A process that is younger takes the division of the fleet from others, as it does
+# not know yet how many there are.
+NEWCOMER_S = 5.0
+# Time between two beats of which the second one greets a newcomer.
+MIN_BEAT_S = 0.2
 # Peers that are known at most, ten times the largest fleet.
 MAX_PEERS = 4_096
 # Upstreams that one message names as leaving at most.
@@ -98,6 +108,8 @@
     feeds : list of FeedReport or None
         What the sender knows of the configuration and of the list of upstreams;
         None for one that it has not read.
+    n_cells : int
+        Into how many cells the sender divides the fleet.
     """
 
     incarnation: str
@@ -112,6 +124,7 @@
     far_used: dict[str, float] = {}
     leaving: list[tuple[str, int]] = []
     feeds: list[FeedReport | None] = []
+    n_cells: int = 1
 
 
 class Rumour(msgspec.Struct, array_like=True, tag="rumour"):
@@ -128,12 +141,15 @@
     cell_used : dict of str to float
         Quota units that the cell of the sender has admitted since the sender was
         started, from the speaker of a cell.
+    n_cells : int
+        Into how many cells the sender divides the fleet.
     """
 
     incarnation: str
     alive: list[tuple[str, float]]
     is_question: bool
     cell_used: dict[str, float] = {}
+    n_cells: int = 1
 
 
 @dataclass(slots=True)
@@ -222,8 +238,11 @@
 
     def divide(self) -> int:
         """Divide the fleet into cells by its size; return the number of cells."""
-        n_cells = n_cells_for(len(self.alive()) + 1)
+        n_gateways = len(self.alive()) + 1
+        n_cells = n_cells_for(n_gateways)
         now_s = self._clock.monotonic_s()
+        if n_cells < self.n_cells:
+            n_cells = min(self.n_cells, n_cells_for(n_gateways * MERGE_MARGIN))
         if n_cells >= self.n_cells:
             self._small_since_s = None
             self.n_cells = n_cells
@@ -234,6 +253,15 @@
             self.n_cells = n_cells
         return self.n_cells
 
+    def adopt_cells(self, n_cells: int) -> bool:
+        """Take over a division into more cells; return whether it is another."""
+        is_power_of_two = n_cells & (n_cells - 1) == 0
+        if not (self.n_cells < n_cells <= MAX_CELLS and is_power_of_two):
+            return False
+        self.n_cells = n_cells
+        self._small_since_s = None
+        return True
+
     def speakers(self) -> dict[int, Address]:
         """Return, for each cell, the gateway that speaks for it to other cells."""
         speakers = {self.cell: self.own_address}
--- a/src/pomelothread/gateway/reports.py
+++ b/src/pomelothread/gateway/reports.py
@@ -18,7 +18,9 @@
     COALESCE_S,
     MAX_LEAVING,
     MAX_NAMED,
+    MIN_BEAT_S,
     N_RUMOURS,
+    NEWCOMER_S,
     LoadReport,
     Peer,
     PeerLink,
@@ -178,6 +180,7 @@
             far_used,
             [(start.upstream_id, start.started_ms) for start in leaving],
             self._feed_reports(is_beat, now_s),
+            self._peers.n_cells,
         )
 
     def _has_news(self) -> bool:
@@ -214,6 +217,9 @@
             # It does not know the size of the fleet yet.
             self.link.send_rumour(self._rumour(is_question=False), peer.address)
         self._crashes.hear(message.crashes)
+        self._adopt_cells(message.n_cells)
+        if message.is_beat and message.uptime_s < BEAT_S:
+            self._greet(now_s)
         self._hear_departures(peer, message)
         self._hear_feeds(message, now_s)
         named = (self._upstreams.get(upstream_id) for upstream_id in peer.changed)
@@ -221,6 +227,22 @@
         self._queue.set_peer_urgencies(self._peers.most_urgent_waiting())
         self._queue.serve_all()
 
+    def _adopt_cells(self, n_cells: int) -> None:
+        """Use the division of older processes until this one knows the fleet."""
+        now_s = self._clock.monotonic_s()
+        is_newcomer = now_s - self._started_s < NEWCOMER_S
+        if is_newcomer and self._peers.adopt_cells(n_cells):
+            self._apply_division()
+            # The peers of the cell are to hear of this process at once.
+            self._last_beat_s = now_s - BEAT_S
+            self._queue.load_changed.set()
+
+    def _greet(self, now_s: float) -> None:
+        """Tell a process that has just started the whole load soon."""
+        if now_s - self._last_beat_s >= MIN_BEAT_S:
+            self._last_beat_s = now_s - BEAT_S
+            self._queue.load_changed.set()
+
     def _hear_departures(self, peer: Peer, message: PeerMessage) -> None:
         starts = (UpstreamStart(*start) for start in message.leaving)
         for start in self._upstreams.hear_departures(starts):
@@ -237,13 +259,17 @@
             now_s = self._clock.monotonic_s()
             speaker = f"cell of {rumour.incarnation}"
             self._quotas.observe_cells(speaker, rumour.cell_used, now_s)
+        self._adopt_cells(rumour.n_cells)
         if rumour.is_question:
             self.link.send_rumour(self._rumour(is_question=False), sender)
 
     def _divide(self) -> None:
         before, n_cells = self._peers.n_cells, self._peers.divide()
-        if n_cells == before:
-            return
+        if n_cells != before:
+            self._apply_division()
+
+    def _apply_division(self) -> None:
+        n_cells = self._peers.n_cells
         self._upstreams.set_cell(self._peers.cell, n_cells)
         self._quotas.set_cells(n_cells)
         for peer in self._peers.all():
@@ -269,7 +295,8 @@
         if not self._speaks(speakers):
             return
         cell_used = self._quotas.cell_used(MAX_ORGANISATIONS)
-        rumour = Rumour(self._incarnation, [], False, cell_used)
+        n_cells = self._peers.n_cells
+        rumour = Rumour(self._incarnation, [], False, cell_used, n_cells)
         for cell, address in speakers.items():
             if cell != self._peers.cell:
                 self.link.send_rumour(rumour, address)
@@ -295,7 +322,12 @@
             (peer.address.host, round(now_s - (peer.alive_s or 0.0), 1))
             for peer in self._peers.alive()
         ]
-        return Rumour(self._incarnation, self._some(alive), is_question)
+        return Rumour(
+            self._incarnation,
+            self._some(alive),
+            is_question,
+            n_cells=self._peers.n_cells,
+        )
 
     def _some(self, items: list[_T]) -> list[_T]:
         if len(items) <= MAX_NAMED:
--- a/tests/test_gateway_cells.py
+++ b/tests/test_gateway_cells.py
@@ -109,6 +109,54 @@
     }
 
 
+def test_a_newcomer_uses_the_division_and_the_loads_of_its_cell_at_once():
+    # Seen on stp-pomelo-large: gateways that had just started used the upstreams of
+    # all cells, and knew no load there.
+    fleet = Fleet(68)
+    for node in fleet.nodes:
+        node.upstreams.put(make_listing("engine"))
+        node.upstreams.get("engine").n_running = 1
+    fleet.play(10.0)
+    (n_cells,) = {node.peers.n_cells for node in fleet.nodes}
+    seeds = [node.address for node in fleet.nodes[:3]]
+    for number in (0, 9, 67):
+        newcomer = Node(fleet, number, seeds)
+        newcomer.reporter._incarnation = f"{number} again"
+        newcomer.upstreams.put(make_listing("engine"))
+        fleet.nodes[number] = fleet.by_address[newcomer.address] = newcomer
+        fleet.play(2 * BEAT_S)
+        assert newcomer.peers.n_cells == n_cells
+        heard = [p for p in newcomer.peers.near() if not p.is_silent]
+        assert len(heard) == len(newcomer.peers.near()) > 0
+        assert newcomer.upstreams.get("engine").n_peer_running == len(heard)
+        newcomer.upstreams.get("engine").n_running = 1
+
+
+def test_a_fleet_at_a_boundary_is_not_merged_when_a_gateway_is_lost():
+    sizes = [n for n in range(MAX_TOGETHER, 200) if n_cells_for(n) < n_cells_for(n + 1)]
+    assert 67 in sizes
+    fleet = Fleet(68)
+    fleet.play(8.0)
+    (n_cells,) = {node.peers.n_cells for node in fleet.nodes}
+    gone = fleet.nodes.pop()
+    del fleet.by_address[gone.address]
+    fleet.play(ALIVE_S + MERGE_AFTER_S + 10.0)
+    assert {node.peers.n_cells for node in fleet.nodes} == {n_cells}
+
+
+@pytest.mark.parametrize("n_cells", [0, -1, 3, 4, 10**9])
+def test_a_division_that_a_peer_tells_is_checked(n_cells):
+    table = PeerTable(Address("10.0.0.1", PORT), ManualClock(datetime.now(UTC)))
+    table.adopt_cells(n_cells)
+    assert table.n_cells == (4 if n_cells == 4 else 1)
+
+
+def make_listing(name):
+    return UpstreamListing(
+        name, "engines", Address("10.1.0.1", 1), "zone", 400, False, 1
+    )
+
+
 @pytest.mark.parametrize("n_nodes", [5, MAX_TOGETHER])
 def test_a_small_fleet_stays_together(n_nodes):
     fleet = Fleet(n_nodes)
