Give each cell upstreams in proportion to its gateways

Cause: cells of gateways and parts of upstreams were both found by hashing names, so chance decided how much each cell had.

The upstreams of a service are shared out in the order of their hashed names, in proportion to the gateways of each cell. Those that leave by the list are counted for no cell. A gateway or an upstream that comes or goes moves those at the borders.

--- a/src/pomelothread/gateway/peers.py
+++ b/src/pomelothread/gateway/peers.py
@@ -253,6 +253,13 @@
             self.n_cells = n_cells
         return self.n_cells
 
+    def cell_sizes(self) -> tuple[int, ...]:
+        """Return how many gateways that live each cell has."""
+        sizes = [0] * self.n_cells
+        for address in (self.own_address, *(peer.address for peer in self.alive())):
+            sizes[self._cell_of(address)] += 1
+        return tuple(sizes)
+
     def adopt_cells(self, n_cells: int) -> bool:
         """Take over a division into more cells; return whether it is another."""
         is_power_of_two = n_cells & (n_cells - 1) == 0
--- a/src/pomelothread/gateway/reports.py
+++ b/src/pomelothread/gateway/reports.py
@@ -267,10 +267,12 @@
         before, n_cells = self._peers.n_cells, self._peers.divide()
         if n_cells != before:
             self._apply_division()
+        else:
+            self._upstreams.set_cell(self._peers.cell, self._peers.cell_sizes())
 
     def _apply_division(self) -> None:
         n_cells = self._peers.n_cells
-        self._upstreams.set_cell(self._peers.cell, n_cells)
+        self._upstreams.set_cell(self._peers.cell, self._peers.cell_sizes())
         self._quotas.set_cells(n_cells)
         for peer in self._peers.all():
             if not self._peers.is_near(peer):
--- a/src/pomelothread/gateway/upstreams.py
+++ b/src/pomelothread/gateway/upstreams.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from ..addresses import Address
-from ..policy.cells import n_parts_for, name_hash
+from ..policy.cells import part_of_cell
 from ..policy.departures import DepartureBook, UpstreamStart
 from ..policy.upstream_health import HealthRecord
 from ..policy.upstream_speed import SpeedEstimate
@@ -127,8 +127,8 @@
         "_by_id",
         "_by_service",
         "_cell",
+        "_cell_sizes",
         "_departures",
-        "_n_cells",
         "_of_cell",
         "_region",
         "_regions",
@@ -141,7 +141,7 @@
         self._by_id: dict[str, Upstream] = {}
         self._by_service: dict[str, list[Upstream]] = {}
         self._cell = 0
-        self._n_cells = 1
+        self._cell_sizes: tuple[int, ...] = (1,)
         self._of_cell: dict[str, list[Upstream]] = {}
 
     def __len__(self) -> int:
@@ -156,14 +156,22 @@
         """Return all upstreams."""
         return self._by_id.values()
 
-    def set_cell(self, cell: int, n_cells: int) -> None:
-        """Use only the upstreams of one of several cells of gateways."""
-        if (cell, n_cells) != (self._cell, self._n_cells):
-            self._cell, self._n_cells = cell, n_cells
+    def set_cell(self, cell: int, cell_sizes: tuple[int, ...]) -> None:
+        """Use only the upstreams of one of several cells of gateways.
+
+        Parameters
+        ----------
+        cell : int
+            Number of the cell.
+        cell_sizes : tuple of int
+            Gateways of each cell.
+        """
+        if (cell, cell_sizes) != (self._cell, self._cell_sizes):
+            self._cell, self._cell_sizes = cell, cell_sizes
             self._of_cell.clear()
 
     def of_service(self, service: str) -> list[Upstream]:
-        """Return the upstreams of a service for this cell, leaving ones included."""
+        """Return the upstreams of a service for this cell."""
         found = self._of_cell.get(service)
         if found is None:
             found = self._of_cell[service] = self._choose_part(service)
@@ -171,21 +179,16 @@
 
     def _choose_part(self, service: str) -> list[Upstream]:
         upstreams = self._by_service.get(service, [])
-        n_parts = n_parts_for(len(upstreams), self._n_cells)
-        part = upstreams
-        if n_parts > 1:
-            part = [u for u in upstreams if self._is_in_part(u, n_parts)]
-        if not part:
-            # Chance has left this part without any; all cells may use all then.
-            part, n_parts = upstreams, 1
+        # What leaves by the list leaves so for all gateways, and is shared out to
+        # none of the cells.
+        staying = [u for u in upstreams if not u.listing.is_leaving] or upstreams
+        names = [upstream.listing.upstream_id for upstream in staying]
+        chosen, n_sharing = part_of_cell(names, self._cell, self._cell_sizes)
+        part = [u for u in upstreams if u.listing.upstream_id in chosen]
         for upstream in part:
-            upstream.n_sharing = self._n_cells // n_parts
+            upstream.n_sharing = n_sharing
         return part
 
-    def _is_in_part(self, upstream: Upstream, n_parts: int) -> bool:
-        number = name_hash(upstream.listing.upstream_id)
-        return number % n_parts == self._cell % n_parts
-
     def put(self, listing: UpstreamListing) -> Upstream | None:
         """Add an upstream or change its listing.
 
--- a/src/pomelothread/policy/cells.py
+++ b/src/pomelothread/policy/cells.py
@@ -6,11 +6,15 @@
 part of the upstreams of each service and tell only each other.
 
 Cells are found by hashing names, so nobody has to assign them; their number is a
-power of two, so that a growing fleet splits cells instead of mixing them.
+power of two, so that a growing fleet splits cells instead of mixing them. Chance
+makes cells of unlike size. Each gets upstreams in proportion to its gateways, in
+the order of their hashed names, so that a gateway or an upstream that comes or
+goes moves only those at the borders.
 """
 
 import hashlib
 import math
+from collections.abc import Sequence
 
 # Gateways that all tell each other everything.
 MAX_TOGETHER = 48
@@ -64,3 +68,43 @@
     while n_parts < n_cells and n_upstreams >= 2 * n_parts * MIN_UPSTREAMS:
         n_parts *= 2
     return n_parts
+
+
+def part_of_cell(
+    names: Sequence[str], cell: int, cell_sizes: Sequence[int]
+) -> tuple[frozenset[str], int]:
+    """Return the upstreams of a service that a cell uses.
+
+    Parameters
+    ----------
+    names : sequence of str
+        All upstreams of the service, in any order.
+    cell : int
+        The cell, which has a gateway.
+    cell_sizes : sequence of int
+        Gateways of each cell; their number is a power of two.
+
+    Returns
+    -------
+    tuple of (frozenset of str, int)
+        Names, at least one if there are any, and how many cells share them.
+
+    Examples
+    --------
+    >>> names = [f"engine-{n}" for n in range(40)]
+    >>> [len(part_of_cell(names, cell, (30, 10))[0]) for cell in (0, 1)]
+    [30, 10]
+    """
+    n_cells = len(cell_sizes)
+    n_parts = n_parts_for(len(names), n_cells)
+    if n_parts == 1:
+        return frozenset(names), n_cells
+    # Cells whose numbers are equal modulo the number of parts share a part.
+    sizes = [sum(cell_sizes[part::n_parts]) for part in range(n_parts)]
+    part = cell % n_parts
+    scale = len(names) / max(1, sum(sizes))
+    first = round(scale * sum(sizes[:part]))
+    end = round(scale * sum(sizes[: part + 1]))
+    in_order = sorted(names, key=lambda name: (name_hash(name), name))
+    chosen = in_order[first:end] or in_order[first : first + 1] or in_order[-1:]
+    return frozenset(chosen), n_cells // n_parts
--- a/tests/test_gateway_cells.py
+++ b/tests/test_gateway_cells.py
@@ -1,6 +1,7 @@
 """A large fleet divides itself, and what a gateway tells others stays bounded."""
 
 import asyncio
+import dataclasses
 import random
 from collections import Counter
 from datetime import UTC, datetime
@@ -217,14 +218,14 @@
     assert book.try_take("club", 0.3 * whole, now_s=0.0)
 
 
-def make_table(n_upstreams, cell, n_cells):
+def make_table(n_upstreams, cell, cell_sizes):
     table = UpstreamTable("region-a", {})
     for number in range(n_upstreams):
         address = Address("10.1.0.1", 1000 + number)
         table.put(
             UpstreamListing(f"i-{number}", "engines", address, "zone", 6, False, 1)
         )
-    table.set_cell(cell, n_cells)
+    table.set_cell(cell, cell_sizes)
     return table
 
 
@@ -234,7 +235,8 @@
 ):
     slots = Counter()
     for cell in range(n_cells):
-        part = make_table(n_upstreams, cell, n_cells).of_service("engines")
+        sizes = (20,) * n_cells
+        part = make_table(n_upstreams, cell, sizes).of_service("engines")
         assert len(part) >= min(n_upstreams, MIN_UPSTREAMS // 2)
         for upstream in part:
             slots[upstream.listing.upstream_id] += upstream.n_slots
@@ -243,8 +245,74 @@
     assert max(slots.values()) <= max(6, n_cells)
 
 
+# Gateways of each cell and upstreams; the first row is stp-pomelo-large.
+UNEVEN_CELLS = [((19, 19, 22, 16), 69), ((17, 17, 17, 17), 60), ((1, 40), 60)]
+
+
+@pytest.mark.parametrize(("sizes", "n_upstreams"), UNEVEN_CELLS)
+def test_cells_of_unlike_size_have_as_many_upstreams_for_each_gateway(
+    sizes, n_upstreams
+):
+    # On stp-pomelo-large 22 gateways of one cell had 13 upstreams, and 16 of another
+    # one 18.
+    parts = [
+        {u.listing.upstream_id for u in make_table(n_upstreams, c, sizes).of_service(s)}
+        for c in range(len(sizes))
+        for s in ("engines",)
+    ]
+    assert sum(len(part) for part in parts) == n_upstreams
+    assert len(set().union(*parts)) == n_upstreams
+    for size, part in zip(sizes, parts, strict=True):
+        fair = size / sum(sizes) * n_upstreams
+        assert abs(len(part) - fair) <= 1
+
+
+@pytest.mark.parametrize(
+    ("change", "n_moved"),
+    [(lambda sizes, n: ((*sizes[:1], sizes[1] - 1, *sizes[2:]), n), 2),
+     (lambda sizes, n: (sizes, n + 1), 2)],
+    ids=["a gateway is lost", "an upstream is added"],
+)  # fmt: skip
+def test_few_upstreams_change_their_cell_when_something_comes_or_goes(change, n_moved):
+    sizes, n_upstreams = (17, 17, 17, 17), 60
+    for cell in range(4):
+        before = make_table(n_upstreams, cell, sizes).of_service("engines")
+        after = make_table(*_around(cell, change(sizes, n_upstreams)))
+        names = {u.listing.upstream_id for u in before}
+        names ^= {u.listing.upstream_id for u in after.of_service("engines")}
+        assert len(names) <= n_moved
+
+
+def _around(cell, changed):
+    sizes, n_upstreams = changed
+    return n_upstreams, cell, sizes
+
+
+def test_upstreams_that_leave_are_counted_for_no_cell():
+    tables = [make_table(40, cell, (10, 10)) for cell in range(2)]
+    for table in tables:
+        for upstream in list(table.all())[:20]:
+            changes = {"is_leaving": True}
+            table.put(dataclasses.replace(upstream.listing, **changes))
+    sizes = [len(table.of_service("engines")) for table in tables]
+    assert sizes == [10, 10]
+
+
+# Requests that run at once, in relation to all slots.
+LOAD = 0.8
+
+
+@pytest.mark.parametrize(("sizes", "n_upstreams"), UNEVEN_CELLS[:2])
+def test_no_cell_is_overloaded_while_others_have_free_slots(sizes, n_upstreams):
+    n_slots = 4
+    per_gateway = LOAD * n_upstreams * n_slots / sum(sizes)
+    for cell, size in enumerate(sizes):
+        part = make_table(n_upstreams, cell, sizes).of_service("engines")
+        assert size * per_gateway <= 0.95 * len(part) * n_slots
+
+
 def test_an_upstream_that_joins_or_leaves_is_noticed_by_its_cell():
-    table = make_table(40, 1, 4)
+    table = make_table(40, 1, (10, 10, 10, 10))
     known = {u.listing.upstream_id for u in table.of_service("engines")}
     for upstream_id in known:
         table.remove(upstream_id)
