Decide the division of the fleet in one place, and split large modules

Cause of the fault: a gateway that had just started took over the number of cells and counted their sizes from the few gateways that it knew, so its part was all upstreams again. Messages tell the sizes now, and policy/division.py decides alone: a newcomer goes by the largest fleet that it is told, and a gateway that suddenly hears of less than 0.6 of the fleet keeps the division for 10 s. Its peers answer a newcomer within 0.2 s also if they have just sent their beat.

Moved without a change of behaviour: messages and link of peers, the platform's link, the care for failed tasks and what ends of attempts tell have modules of their own; stand-ins share one server; the rank is counted once for all feeds; hashes of names are kept; the list of upstreams gets its source of outages when it is made.

--- a/src/pomelothread/gateway/attempt.py
+++ b/src/pomelothread/gateway/attempt.py
@@ -153,7 +153,8 @@
         if isinstance(connection, ExchangeFault):
             return Unsent()
         self._sent_s = self._clock.monotonic_s()
-        if not self._is_still_wanted():
+        if self._lease.upstream.has_withdrawn(self._sent_s):
+            # It left, or asked for rest, while the connection was made.
             self._pool.release(listing.address, connection)
             return Withheld()
         request = self._dialect.forwarded_request(
@@ -202,11 +203,6 @@
             return await self._relay_events(exchange, head)
         return await self._relay_body(exchange, head)
 
-    def _is_still_wanted(self) -> bool:
-        """Tell whether the upstream takes requests, after the time to connect."""
-        upstream = self._lease.upstream
-        return not upstream.is_leaving and self._sent_s >= upstream.health.asked_until_s
-
     def _note_wishes(self, facts: ResponseFacts) -> None:
         """Record that the upstream leaves, or asks for no further requests."""
         listing = self._lease.upstream.listing
--- a/src/pomelothread/gateway/forwarding.py
+++ b/src/pomelothread/gateway/forwarding.py
@@ -10,11 +10,10 @@
 
 from ..clock import Clock
 from ..events import Event, log_event
-from ..http1.client import ConnectionPool, ExchangeFault
+from ..http1.client import ConnectionPool
 from ..http1.messages import Request
 from ..http1.server import Responder
 from ..outcomes import NotKnown, NotRun, Reason
-from ..policy.crash_guard import CrashGuard
 from ..policy.repeats import (
     AnswerNotKnown,
     AnswerNotRun,
@@ -23,7 +22,6 @@
     CutResponse,
     Declined,
     Delivered,
-    FailedResponse,
     Finished,
     NextStep,
     PassOnFailure,
@@ -34,7 +32,6 @@
     after_attempt,
     give_up,
 )
-from ..policy.upstream_health import mean_failure_share
 from ..policy.waiting_order import (
     WaitingFacts,
     for_repeat,
@@ -43,19 +40,16 @@
 )
 from .admission import Admission
 from .attempt import Attempt
-from .crashes import CrashBook
 from .dialect import CallerFacts, Dialect
 from .jobs import Job
 from .metrics import GatewayMetrics
 from .queue import Lease, NoSlot, UpstreamQueue
 from .state import GatewayState
-from .upstreams import Upstream, UpstreamListing, UpstreamTable
+from .upstream_results import UpstreamResults
+from .upstreams import UpstreamTable
 
 _log = logging.getLogger(__name__)
 
-# Status of an upstream that has used up the time which it was given.
-TIMED_OUT = 504
-
 
 class Forwarder:
     """Answers one request at a time, any number of them together.
@@ -71,15 +65,13 @@
     queue : UpstreamQueue
         Where requests wait.
     upstreams : UpstreamTable
-        Tells how often others of a service fail.
+        Learns which upstreams leave.
     admission : Admission
         Decides which requests may wait.
     metrics : GatewayMetrics
         Counts what happens.
-    crash_guard : CrashGuard
-        Tells which requests crash upstreams.
-    crashes : CrashBook
-        Learns of upstreams that do not listen.
+    results : UpstreamResults
+        Learns from the ends of attempts.
     clock : Clock
         Source of time.
     random_source : random.Random
@@ -95,8 +87,7 @@
         upstreams: UpstreamTable,
         admission: Admission,
         metrics: GatewayMetrics,
-        crash_guard: CrashGuard,
-        crashes: CrashBook,
+        results: UpstreamResults,
         clock: Clock,
         random_source: random.Random,
     ) -> None:
@@ -107,9 +98,7 @@
         self._upstreams = upstreams
         self._admission = admission
         self._metrics = metrics
-        self._crash_guard = crash_guard
-        self._crashes = crashes
-        self.n_checks = 0
+        self._results = results
         self._clock = clock
         self._random = random_source
 
@@ -195,7 +184,7 @@
             self._metrics.note_attempt(
                 job.service, type(end).__name__, attempt.first_event_s
             )
-            self._note_health(lease, end, sent_s, job, attempt.status)
+            self._results.note_end(lease, end, sent_s, job, attempt.status)
             step = self._next_step(job, end, responder)
             if not isinstance(end, Delivered):
                 self._log_failure(job, lease, end, step, sent_s, attempt.status)
@@ -337,73 +326,6 @@
             configuration_version=configuration.version if configuration else None,
         )
 
-    def _note_health(
-        self, lease: Lease, end: AttemptEnd, sent_s: float, job: Job, status: int
-    ) -> None:
-        upstream, now_s = lease.upstream, self._clock.monotonic_s()
-        match end:
-            case Delivered():
-                upstream.health.observe_success()
-                if not job.route.is_streaming:
-                    upstream.speed.observe_response(now_s - sent_s)
-                return
-            case Withheld():
-                upstream.health.observe_cancelled()
-                return
-            case Unsent():
-                self._crashes.note_refused_connection(
-                    upstream.listing.upstream_id, now_s
-                )
-                rests = upstream.health.observe_failure(now_s, is_certain=True)
-            case Broken(was_cut=True):
-                self._note_cut(job, lease, now_s)
-                rests = self._observe_failure(upstream, now_s)
-            case FailedResponse() if status == TIMED_OUT:
-                # The upstream ran out of the time that it was given, which tells
-                # how slow it is and not that it fails.
-                upstream.health.observe_cancelled()
-                if not job.route.is_streaming:
-                    upstream.speed.observe_response(now_s - sent_s)
-                return
-            case Declined() | FailedResponse() | Broken():
-                rests = self._observe_failure(upstream, now_s)
-        if not rests:
-            return
-        log_event(
-            _log,
-            Event.UPSTREAM_RESTS,
-            upstream=upstream.listing.upstream_id,
-            rest_s=round(upstream.health.rests_until_s - now_s, 3),
-            n_failures=upstream.health.n_failures_in_row,
-        )
-
-    def _observe_failure(self, upstream: Upstream, now_s: float) -> bool:
-        others_share = mean_failure_share(
-            other.health
-            for other in self._upstreams.of_service(upstream.listing.service)
-            if other is not upstream
-        )
-        return upstream.health.observe_failure(now_s, others_share=others_share)
-
-    def _note_cut(self, job: Job, lease: Lease, now_s: float) -> None:
-        """Find out whether an upstream has crashed or only lost a connection."""
-        listing = lease.upstream.listing
-        self._crash_guard.note_cut(job.fingerprint, listing.upstream_id, now_s)
-        self._state.start(self._check_listens(listing))
-
-    async def _check_listens(self, listing: UpstreamListing) -> None:
-        # The connection takes the place of the one that was lost.
-        self.n_checks += 1
-        try:
-            connection = await self._pool.connect(listing.address)
-        finally:
-            self.n_checks -= 1
-        if isinstance(connection, ExchangeFault):
-            now_s = self._clock.monotonic_s()
-            self._crashes.note_refused_connection(listing.upstream_id, now_s)
-            return
-        self._pool.release(listing.address, connection)
-
     def _log_sent(self, job: Job, lease: Lease) -> None:
         now_s, upstream = self._clock.monotonic_s(), lease.upstream
         self._metrics.note_sent(job.service, now_s - job.waiting.arrived_s)
--- a/src/pomelothread/gateway/listings.py
+++ b/src/pomelothread/gateway/listings.py
@@ -26,6 +26,9 @@
         upstream.
     changed : callable
         Called after each change with the upstreams that are gone.
+    store_back_s : callable
+        Returns the monotonic time at which the store answered again after an
+        outage, or None if it was not away.
     """
 
     def __init__(
@@ -34,16 +37,16 @@
         clock: Clock,
         decode: Callable[[KeyedRecord], UpstreamListing | None],
         changed: Callable[[tuple[Upstream, ...]], None],
+        store_back_s: Callable[[], float | None] = lambda: None,
     ) -> None:
         self._table = table
         self._clock = clock
         self._decode = decode
         self._changed = changed
+        self._store_back_s = store_back_s
         self._lapsed_until_s: dict[str, float] = {}
         self._hashes: dict[str, int] = {}
         self.has_been_read = False
-        # Set by the process: when the store answered again after an outage.
-        self.store_back_s: Callable[[], float | None] = lambda: None
 
     def digest(self) -> int:
         """Return what stands for the list as the platform has it."""
@@ -79,7 +82,7 @@
     def remove_lapsed(self) -> None:
         """Remove upstreams that have not come back since the store returned."""
         now_s = self._clock.monotonic_s()
-        was_away = self.store_back_s() is not None
+        was_away = self._store_back_s() is not None
         for upstream_id, until_s in list(self._lapsed_until_s.items()):
             if now_s >= until_s or not was_away:
                 self._remove(upstream_id)
@@ -108,7 +111,7 @@
         if self._table.get(upstream_id) is None:
             return
         self._hashes.pop(upstream_id, None)
-        back_s = self.store_back_s()
+        back_s = self._store_back_s()
         if back_s is not None:
             returns_until_s = back_s + LAPSE_GRACE_S
             if self._clock.monotonic_s() < returns_until_s:
--- a/src/pomelothread/gateway/process.py
+++ b/src/pomelothread/gateway/process.py
@@ -6,13 +6,11 @@
 import secrets
 import signal
 import socket
-from collections import deque
-from collections.abc import Awaitable, Callable, Coroutine
-from dataclasses import dataclass
+from collections.abc import Callable, Coroutine
 from functools import partial
-from typing import Any, NoReturn
+from typing import Any
 
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Success
 
 from ..addresses import Address
 from ..clock import Clock
@@ -27,26 +25,27 @@
 from ..policy.quotas import QuotaBook
 from .admission import Admission
 from .configuration import Configuration
-from .crashes import CRASHES_WAIT_S, Append, CrashBook
-from .dialect import Dialect
+from .crashes import CRASHES_WAIT_S, CrashBook
 from .feeds import (
     CONFIGURATION_DUE_SHARES,
     CONFIGURATION_WAIT_SHARE,
     LISTING_DUE_SHARES,
     Follower,
-    KeyedFeed,
     KeyedRecord,
 )
 from .forwarding import Forwarder
 from .listings import ListingBook
 from .metrics import GatewayMetrics
 from .peers import PeerTable
+from .platform_link import PlatformLink
 from .queue import UpstreamQueue
 from .quota_notes import QuotaNotes
 from .reports import Reporter
 from .settings import GatewaySettings
 from .state import GatewayState
-from .upstreams import Upstream, UpstreamListing, UpstreamTable
+from .supervision import keep_running, on_callback_error, stop_process
+from .upstream_results import UpstreamResults
+from .upstreams import Upstream, UpstreamTable
 
 _log = logging.getLogger(__name__)
 
@@ -58,58 +57,10 @@
 # Time before SIGKILL at which what is still open is given up.
 STOP_MARGIN_S = 0.4
 HOUSEKEEPING_S = 0.5
-# A task that fails is started again after this pause. More failures than this
-# within that time are no accident of one message, and the process stops.
-TASK_RESTART_S = 0.5
-MAX_TASK_FAILURES = 8
-TASK_FAILURES_WITHIN_S = 60.0
 METRICS_PATH = b"/metrics"
 LISTEN_BACKLOG = 1_024
 
 
-@dataclass(frozen=True, slots=True)
-class PlatformLink:
-    """What the adapter of a platform provides.
-
-    Parameters
-    ----------
-    dialect : Dialect
-        Translates headers.
-    configurations : KeyedFeed
-        Operators' configuration.
-    configuration_key : str
-        Its key in the feed.
-    listings : KeyedFeed
-        List of upstreams.
-    crashes : KeyedFeed
-        What gateways have written of requests that crash upstreams.
-    append_crash : callable
-        Writes to that feed.
-    quota_notes : KeyedFeed
-        What gateways have noted of the use of quotas.
-    append_quota_note : callable
-        Writes to that feed.
-    decode_configuration : callable
-        Decodes a configuration.
-    decode_listing : callable
-        Decodes an entry of the list.
-    readiness_path : bytes
-        Where the balancer asks.
-    """
-
-    dialect: Dialect
-    configurations: KeyedFeed
-    configuration_key: str
-    listings: KeyedFeed
-    crashes: KeyedFeed
-    append_crash: Append
-    quota_notes: KeyedFeed
-    append_quota_note: Append
-    decode_configuration: Callable[[bytes], Result[Configuration, str]]
-    decode_listing: Callable[[KeyedRecord], UpstreamListing | None]
-    readiness_path: bytes
-
-
 class Gateway:
     """One gateway process.
 
@@ -156,6 +107,14 @@
             clock,
         )
         self._peers = PeerTable(settings.peer_address, clock)
+        self._results = UpstreamResults(
+            self._upstreams,
+            self._pool,
+            self._crash_guard,
+            self._crashes,
+            self._state,
+            clock,
+        )
         self._forwarder = Forwarder(
             self._state,
             self._link.dialect,
@@ -166,8 +125,7 @@
                 self._state, self._quotas, self._crash_guard, clock, random_source
             ),
             self.metrics,
-            self._crash_guard,
-            self._crashes,
+            self._results,
             clock,
             random_source,
         )
@@ -182,15 +140,19 @@
             clock,
             random_source,
         )
-        self._listings = ListingBook(
-            self._upstreams, clock, self._link.decode_listing, self._on_listing
-        )
         self._configuration_watch = FeedWatch(
             _reading_times(CONFIGURATION_DUE_SHARES, settings.configuration_bound_s)
         )
         self._listing_watch = FeedWatch(
             _reading_times(LISTING_DUE_SHARES, settings.leaving_bound_s)
         )
+        self._listings = ListingBook(
+            self._upstreams,
+            clock,
+            self._link.decode_listing,
+            self._on_listing,
+            lambda: self._listing_watch.back_s,
+        )
         self._connections: set[CallerConnection] = set()
         # Those of callers that have not got all that was written yet, too.
         self._open_streams: set[ByteStream] = set()
@@ -219,7 +181,7 @@
     @property
     def n_checks(self) -> int:
         """Checks of upstreams that are under way."""
-        return self._forwarder.n_checks
+        return self._results.n_checks
 
     def n_running_at(self, upstream_id: str) -> int:
         """Return the requests of all gateways at an upstream."""
@@ -238,7 +200,7 @@
     async def run(self) -> int:
         """Serve until SIGTERM; returns the exit code."""
         loop = asyncio.get_running_loop()
-        loop.set_exception_handler(_on_callback_error)
+        loop.set_exception_handler(on_callback_error)
         loop.add_signal_handler(signal.SIGTERM, self.stop)
         # Settings are read at the start; addresses do not change in a process.
         loop.add_signal_handler(signal.SIGHUP, lambda: None)
@@ -266,15 +228,14 @@
         ]
         self.is_listening = True
         for follower in self._followers():
-            self._start(self._keep_running(follower.run))
+            self._start(keep_running(follower.run, self._clock))
         note_quotas = partial(
             self._quota_notes.run,
             self._state.has_configuration,
             self._state.is_prepared,
         )
-        self._start(self._keep_running(note_quotas))
-        self._start(self._keep_running(self._reporter.run))
-        self._start(self._keep_running(self._housekeeping))
+        for run in (note_quotas, self._reporter.run, self._housekeeping):
+            self._start(keep_running(run, self._clock))
         try:
             await self._stopping.wait()
             await self._drain(callers)
@@ -324,7 +285,6 @@
             digest=self._listings.digest,
             has_read=self._queue.load_changed.set,
         )
-        self._listings.store_back_s = lambda: self._listing_watch.back_s
         self._reporter.share_feeds(
             (self._configuration_watch, configurations.wake),
             (self._listing_watch, listings.wake),
@@ -472,24 +432,6 @@
             log_event(_log, Event.CONNECTION_BROKEN, exc_info=error, detail=repr(error))
             stream.close()
 
-    async def _keep_running(self, run: Callable[[], Awaitable[None]]) -> None:
-        """Run a task of the process again if an unexpected error ends it."""
-        failed_s: deque[float] = deque(maxlen=MAX_TASK_FAILURES)
-        while True:
-            try:
-                await run()
-                return
-            except Exception as error:
-                now_s = self._clock.monotonic_s()
-                if isinstance(error, AssertionError) or (
-                    len(failed_s) == MAX_TASK_FAILURES
-                    and now_s - failed_s[0] < TASK_FAILURES_WITHIN_S
-                ):
-                    raise
-                failed_s.append(now_s)
-                log_event(_log, Event.TASK_FAILED, exc_info=error, detail=repr(error))
-            await self._clock.sleep(TASK_RESTART_S)
-
     def _start(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = asyncio.ensure_future(work)
         self._tasks.add(task)
@@ -500,29 +442,8 @@
         self._tasks.discard(task)
         error = None if task.cancelled() else task.exception()
         if error is not None:
-            _stop(error)
+            stop_process(error)
 
 
 def _reading_times(shares: tuple[float, float, float], bound_s: float) -> ReadingTimes:
     return ReadingTimes(*(share * bound_s for share in shares))
-
-
-def _on_callback_error(
-    loop: asyncio.AbstractEventLoop, context: dict[str, Any]
-) -> None:
-    """Log an error of a callback; only a broken invariant stops the process."""
-    error = context.get("exception")
-    if isinstance(error, OSError):
-        # A connection that ends while its transport is being set up.
-        log_event(_log, Event.CONNECTION_FAILED, detail=context.get("message"))
-        return
-    if isinstance(error, AssertionError):
-        _stop(error)
-    log_event(
-        _log, Event.CALLBACK_FAILED, exc_info=error, detail=context.get("message")
-    )
-
-
-def _stop(error: BaseException) -> NoReturn:
-    log_event(_log, Event.INVARIANT_BROKEN, exc_info=error, detail=repr(error))
-    raise SystemExit(1)
--- a/src/pomelothread/gateway/reports.py
+++ b/src/pomelothread/gateway/reports.py
@@ -13,21 +13,9 @@
 from ..policy.feed_sharing import FeedReport, FeedWatch
 from ..policy.quotas import QuotaBook
 from .crashes import CrashBook
-from .peers import (
-    BEAT_S,
-    COALESCE_S,
-    MAX_LEAVING,
-    MAX_NAMED,
-    MIN_BEAT_S,
-    N_RUMOURS,
-    NEWCOMER_S,
-    LoadReport,
-    Peer,
-    PeerLink,
-    PeerMessage,
-    PeerTable,
-    Rumour,
-)
+from .peer_link import PeerLink
+from .peer_messages import MAX_LEAVING, MAX_NAMED, LoadReport, PeerMessage, Rumour
+from .peers import Peer, PeerTable
 from .queue import UpstreamQueue
 from .state import GatewayState
 from .upstreams import Upstream, UpstreamTable
@@ -35,6 +23,14 @@
 _log = logging.getLogger(__name__)
 _T = TypeVar("_T")
 
+# Everything is said at least this often.
+BEAT_S = 1.0
+# Changes within this time go into one message.
+COALESCE_S = 0.015
+# Time between two beats, of which the second one is for a process that is new.
+MIN_BEAT_S = 0.2
+# Peers that get a rumour with each beat of a fleet of several cells.
+N_RUMOURS = 2
 # Organisations that the speaker of a cell tells of. They fit into a datagram;
 # what others use is too far from their quotas to matter.
 MAX_ORGANISATIONS = 40
@@ -92,6 +88,7 @@
         self._sent_waiting: dict[str, int] = {}
         self._started_s = clock.monotonic_s()
         self._last_beat_s = -BEAT_S
+        self._beat_due_s = 0.0
         self._feeds: tuple[tuple[FeedWatch, Callable[[], None]], ...] = ()
         self.link = PeerLink(peers, self.on_message, self.on_rumour)
 
@@ -110,8 +107,9 @@
         # Peers count what this process admits from its first message on.
         self.report()
         while True:
+            left_s = self._beat_due_s - self._clock.monotonic_s()
             try:
-                async with asyncio.timeout(BEAT_S):
+                async with asyncio.timeout(max(0.0, left_s)):
                     await self._queue.load_changed.wait()
             except TimeoutError:
                 # Nothing has changed; the beat is due.
@@ -134,7 +132,7 @@
     def next_message(self) -> PeerMessage | None:
         """Return what is to be sent now, or None if nothing has changed."""
         now_s = self._clock.monotonic_s()
-        is_beat = now_s - self._last_beat_s >= BEAT_S
+        is_beat = now_s >= self._beat_due_s
         current = {
             u.listing.upstream_id: (u.n_running, u.n_pending_tokens)
             for u in self._upstreams.all()
@@ -143,7 +141,7 @@
         waiting = self._queue.most_urgent_waiting()
         used = self._quotas.used()
         if is_beat:
-            self._last_beat_s = now_s
+            self._last_beat_s, self._beat_due_s = now_s, now_s + BEAT_S
             loads = [LoadReport(k, *load) for k, load in current.items()]
             hosts = self._hosts_to_name()
             far_used = self._far_used()
@@ -180,7 +178,7 @@
             far_used,
             [(start.upstream_id, start.started_ms) for start in leaving],
             self._feed_reports(is_beat, now_s),
-            self._peers.n_cells,
+            list(self._peers.division.sizes) if is_beat else [],
         )
 
     def _has_news(self) -> bool:
@@ -189,8 +187,9 @@
     def _feed_reports(self, is_beat: bool, now_s: float) -> list[FeedReport | None]:
         if not (is_beat or self._has_news()):
             return []
+        rank = self._peers.rank
         for watch, _ in self._feeds:
-            watch.rank = self._peers.rank
+            watch.rank = rank
             watch.has_news = False
         return [watch.report(now_s) for watch, _ in self._feeds]
 
@@ -217,9 +216,10 @@
             # It does not know the size of the fleet yet.
             self.link.send_rumour(self._rumour(is_question=False), peer.address)
         self._crashes.hear(message.crashes)
-        self._adopt_cells(message.n_cells)
+        self._hear_division(message.cell_sizes)
         if message.is_beat and message.uptime_s < BEAT_S:
-            self._greet(now_s)
+            # A process that has just started knows no load yet.
+            self._beat_soon()
         self._hear_departures(peer, message)
         self._hear_feeds(message, now_s)
         named = (self._upstreams.get(upstream_id) for upstream_id in peer.changed)
@@ -227,21 +227,18 @@
         self._queue.set_peer_urgencies(self._peers.most_urgent_waiting())
         self._queue.serve_all()
 
-    def _adopt_cells(self, n_cells: int) -> None:
-        """Use the division of older processes until this one knows the fleet."""
-        now_s = self._clock.monotonic_s()
-        is_newcomer = now_s - self._started_s < NEWCOMER_S
-        if is_newcomer and self._peers.adopt_cells(n_cells):
-            self._apply_division()
-            # The peers of the cell are to hear of this process at once.
-            self._last_beat_s = now_s - BEAT_S
-            self._queue.load_changed.set()
+    def _hear_division(self, sizes: list[int]) -> None:
+        before = self._peers.n_cells
+        if self._peers.hear_division(sizes):
+            self._apply_division(before)
+            # The peers of the cell are to hear of this process.
+            self._beat_soon()
 
-    def _greet(self, now_s: float) -> None:
-        """Tell a process that has just started the whole load soon."""
-        if now_s - self._last_beat_s >= MIN_BEAT_S:
-            self._last_beat_s = now_s - BEAT_S
-            self._queue.load_changed.set()
+    def _beat_soon(self) -> None:
+        now_s = self._clock.monotonic_s()
+        soon_s = max(now_s, self._last_beat_s + MIN_BEAT_S)
+        self._beat_due_s = min(self._beat_due_s, soon_s)
+        self._queue.load_changed.set()
 
     def _hear_departures(self, peer: Peer, message: PeerMessage) -> None:
         starts = (UpstreamStart(*start) for start in message.leaving)
@@ -259,20 +256,20 @@
             now_s = self._clock.monotonic_s()
             speaker = f"cell of {rumour.incarnation}"
             self._quotas.observe_cells(speaker, rumour.cell_used, now_s)
-        self._adopt_cells(rumour.n_cells)
+        self._hear_division(rumour.cell_sizes)
         if rumour.is_question:
             self.link.send_rumour(self._rumour(is_question=False), sender)
 
     def _divide(self) -> None:
-        before, n_cells = self._peers.n_cells, self._peers.divide()
-        if n_cells != before:
-            self._apply_division()
-        else:
-            self._upstreams.set_cell(self._peers.cell, self._peers.cell_sizes())
+        before = self._peers.n_cells
+        if self._peers.divide():
+            self._apply_division(before)
 
-    def _apply_division(self) -> None:
+    def _apply_division(self, n_cells_before: int) -> None:
         n_cells = self._peers.n_cells
-        self._upstreams.set_cell(self._peers.cell, self._peers.cell_sizes())
+        self._upstreams.set_cell(self._peers.cell, self._peers.division.sizes)
+        if n_cells == n_cells_before:
+            return
         self._quotas.set_cells(n_cells)
         for peer in self._peers.all():
             if not self._peers.is_near(peer):
@@ -283,7 +280,7 @@
             Event.FLEET_DIVIDED,
             n_cells=n_cells,
             cell=self._peers.cell,
-            n_gateways=len(self._peers.alive()) + 1,
+            n_gateways=sum(self._peers.division.sizes),
         )
 
     def _spread_rumours(self) -> None:
@@ -297,8 +294,8 @@
         if not self._speaks(speakers):
             return
         cell_used = self._quotas.cell_used(MAX_ORGANISATIONS)
-        n_cells = self._peers.n_cells
-        rumour = Rumour(self._incarnation, [], False, cell_used, n_cells)
+        sizes = list(self._peers.division.sizes)
+        rumour = Rumour(self._incarnation, [], False, cell_used, sizes)
         for cell, address in speakers.items():
             if cell != self._peers.cell:
                 self.link.send_rumour(rumour, address)
@@ -328,7 +325,7 @@
             self._incarnation,
             self._some(alive),
             is_question,
-            n_cells=self._peers.n_cells,
+            cell_sizes=list(self._peers.division.sizes),
         )
 
     def _some(self, items: list[_T]) -> list[_T]:
--- /dev/null
+++ b/src/pomelothread/gateway/supervision.py
@@ -0,0 +1,75 @@
+"""What happens after an unexpected error outside of any request."""
+
+import asyncio
+import logging
+from collections import deque
+from collections.abc import Awaitable, Callable
+from typing import Any, NoReturn
+
+from ..clock import Clock
+from ..events import Event, log_event
+
+_log = logging.getLogger(__name__)
+
+# A task that fails is started again after this pause. More failures than this
+# within that time are no accident of one message, and the process stops.
+TASK_RESTART_S = 0.5
+MAX_TASK_FAILURES = 8
+TASK_FAILURES_WITHIN_S = 60.0
+
+
+async def keep_running(run: Callable[[], Awaitable[None]], clock: Clock) -> None:
+    """Run a task of the process, and start it again after an unexpected error.
+
+    Parameters
+    ----------
+    run : callable
+        Begins the task.
+    clock : Clock
+        Source of time.
+
+    Raises
+    ------
+    Exception
+        What the task raised, if it fails again and again or an invariant is
+        broken.
+    """
+    failed_s: deque[float] = deque(maxlen=MAX_TASK_FAILURES)
+    while True:
+        try:
+            await run()
+            return
+        except Exception as error:
+            now_s = clock.monotonic_s()
+            if isinstance(error, AssertionError) or _is_often(failed_s, now_s):
+                raise
+            failed_s.append(now_s)
+            log_event(_log, Event.TASK_FAILED, exc_info=error, detail=repr(error))
+        await clock.sleep(TASK_RESTART_S)
+
+
+def _is_often(failed_s: deque[float], now_s: float) -> bool:
+    return (
+        len(failed_s) == MAX_TASK_FAILURES
+        and now_s - failed_s[0] < TASK_FAILURES_WITHIN_S
+    )
+
+
+def on_callback_error(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+    """Log an error of a callback; only a broken invariant stops the process."""
+    error = context.get("exception")
+    if isinstance(error, OSError):
+        # A connection that ends while its transport is being set up.
+        log_event(_log, Event.CONNECTION_FAILED, detail=context.get("message"))
+        return
+    if isinstance(error, AssertionError):
+        stop_process(error)
+    log_event(
+        _log, Event.CALLBACK_FAILED, exc_info=error, detail=context.get("message")
+    )
+
+
+def stop_process(error: BaseException) -> NoReturn:
+    """Log a broken invariant and end the process."""
+    log_event(_log, Event.INVARIANT_BROKEN, exc_info=error, detail=repr(error))
+    raise SystemExit(1)
--- a/src/pomelothread/gateway/upstreams.py
+++ b/src/pomelothread/gateway/upstreams.py
@@ -96,6 +96,10 @@
         """Tell whether it may get a request now, if it has a free slot."""
         return not self.is_leaving and self.health.may_take(now_s)
 
+    def has_withdrawn(self, now_s: float) -> bool:
+        """Tell whether it has itself asked for no more requests now."""
+        return self.is_leaving or now_s < self.health.asked_until_s
+
     @property
     def n_slots(self) -> int:
         """Requests that this cell of gateways may run there at the same time."""
--- a/src/pomelothread/platform/link.py
+++ b/src/pomelothread/platform/link.py
@@ -2,7 +2,7 @@
 
 from functools import partial
 
-from ..gateway.process import PlatformLink
+from ..gateway.platform_link import PlatformLink
 from ..gateway.settings import GatewaySettings
 from ..http1.client import ConnectionPool
 from .headers import PlatformDialect
--- a/src/pomelothread/policy/cells.py
+++ b/src/pomelothread/policy/cells.py
@@ -12,6 +12,7 @@
 goes moves only those at the borders.
 """
 
+import functools
 import hashlib
 import math
 from collections.abc import Sequence
@@ -26,6 +27,7 @@
 MIN_UPSTREAMS = 8
 
 
+@functools.lru_cache(maxsize=8_192)
 def name_hash(name: str) -> int:
     """Return a number that is the same for a name on all machines."""
     return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=4).digest())
--- a/tests/test_fuzz_edges.py
+++ b/tests/test_fuzz_edges.py
@@ -15,7 +15,9 @@
 from pomelothread.gateway.crashes import CrashBook
 from pomelothread.gateway.events_of_stream import EventSplitter
 from pomelothread.gateway.feeds import KeyedRecord
-from pomelothread.gateway.peers import LoadReport, PeerLink, PeerMessage, PeerTable
+from pomelothread.gateway.peer_link import PeerLink
+from pomelothread.gateway.peer_messages import LoadReport, PeerMessage
+from pomelothread.gateway.peers import PeerTable
 from pomelothread.http1.byte_stream import ByteStream
 from pomelothread.http1.client import (
     EndOfBody,
--- /dev/null
+++ b/tools/standins/loopback_server.py
@@ -0,0 +1,49 @@
+"""A TCP server on the loopback interface with a task for each connection."""
+
+import asyncio
+from abc import ABC, abstractmethod
+
+
+class LoopbackServer(ABC):
+    """Serves connections until it is stopped.
+
+    Attributes
+    ----------
+    port : int
+        Where it listens, once it has been started.
+    """
+
+    def __init__(self) -> None:
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.port = 0
+
+    async def start(self, port: int = 0) -> None:
+        """Listen; port 0 lets the kernel choose."""
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", port)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def stop_listening(self) -> None:
+        """Refuse new connections."""
+        if self._server is not None:
+            self._server.close()
+
+    async def stop(self) -> None:
+        """Close the port and all connections."""
+        self.stop_listening()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.ensure_future(self._serve(reader, writer))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    @abstractmethod
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serve one connection to its end."""
--- a/tools/standins/platform.py
+++ b/tools/standins/platform.py
@@ -17,6 +17,8 @@
 import h11
 import msgspec
 
+from standins.loopback_server import LoopbackServer
+
 _LENGTH = struct.Struct(">I")
 _BOUNDS = struct.Struct(">QQ")
 _READ_BYTES = 65_536
@@ -68,7 +70,7 @@
         reset_connection(self.writer)
 
 
-class HttpStandIn:
+class HttpStandIn(LoopbackServer):
     """Serves calls on a port of the loopback interface.
 
     Parameters
@@ -78,34 +80,8 @@
     """
 
     def __init__(self, handle: Handle) -> None:
+        super().__init__()
         self._handle = handle
-        self._server: asyncio.Server | None = None
-        self._tasks: set[asyncio.Task[None]] = set()
-        self.port = 0
-
-    async def start(self, port: int = 0) -> None:
-        """Listen; port 0 lets the kernel choose."""
-        self._server = await asyncio.start_server(self._accept, "127.0.0.1", port)
-        self.port = self._server.sockets[0].getsockname()[1]
-
-    def stop_listening(self) -> None:
-        """Refuse new connections."""
-        if self._server is not None:
-            self._server.close()
-
-    async def stop(self) -> None:
-        """Close the port and all connections."""
-        self.stop_listening()
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-
-    def _accept(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        task = asyncio.ensure_future(self._serve(reader, writer))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
