Derive the limits of store calls from the bound they serve

By arithmetic a waiting read (1.5 s), its margin (0.9 s) and the pause (1.0 s) are longer than the bound of 3 s. policy/store_calls now gives wait, answer, connection and pauses for a bound; their sum stays below it for bounds from 1 s on.

A gateway out of touch probes without waiting, tries a new connection at once after the first failure, closes idle connections with the one that was silent, and gives up a read 0.3 s after a peer has told of something newer.

--- a/src/pomelothread/events.py
+++ b/src/pomelothread/events.py
@@ -322,6 +322,11 @@
         logging.ERROR,
         "answer of the store for %(feed)s is malformed: %(detail)s",
     )
+    FEED_OVERTAKEN = (
+        835,
+        logging.WARNING,
+        "read of %(feed)s given up: a peer knows something newer",
+    )
     FEED_RECORD_FAILED = (
         834,
         logging.ERROR,
--- a/src/pomelothread/gateway/feeds.py
+++ b/src/pomelothread/gateway/feeds.py
@@ -12,15 +12,13 @@
 from ..clock import Clock
 from ..events import Event, log_event
 from ..policy.feed_sharing import FeedWatch
+from ..policy.store_calls import OVERTAKEN_S
 
 _log = logging.getLogger(__name__)
 
-# Longest wait of a read for a change of the configuration, as a part of the time
-# in which it has to be in force: a connection that has gone silent is noticed
-# after this wait and the margin of a call.
-CONFIGURATION_WAIT_SHARE = 0.5
-# When gateways read it if they do not hear that nothing has changed, as parts of
-# the same time. The first one always has a read that waits.
+# When gateways read the configuration if they do not hear that nothing has changed,
+# as parts of the time in which it has to be in force. The first one always has a
+# read that waits.
 CONFIGURATION_DUE_SHARES = (0.0, 0.6, 0.7)
 # When gateways read the list of upstreams, as parts of the time after which a
 # leaving one has to be left alone; it leaves room for one lost call. They report
@@ -141,19 +139,30 @@
         self._offset: int | None = None
         self._read_s = clock.monotonic_s()
         self._lost_s: float | None = None
+        self._n_failures = 0
         self._is_woken = asyncio.Event()
+        self._reading: asyncio.Timeout | None = None
 
     async def run(self) -> None:
         """Follow the feed until cancelled."""
         while True:
             await self._until_due()
-            if not await self.step():
-                retry_s = self._watch.retry_s if self._watch else RETRY_PAUSE_S
-                await self._clock.sleep(retry_s)
+            if await self.step() or self._n_failures == 1:
+                # After the first failure another connection is tried at once.
+                continue
+            retry_s = self._watch.retry_s if self._watch else RETRY_PAUSE_S
+            await self._clock.sleep(retry_s)
 
     def wake(self) -> None:
-        """Read at once, as a peer knows something newer."""
+        """Read at once, as a peer knows something newer.
+
+        A read that still waits for it soon after is on a connection that has gone
+        silent.
+        """
         self._is_woken.set()
+        if self._reading is not None and not self._reading.expired():
+            limit_s = asyncio.get_running_loop().time() + OVERTAKEN_S
+            self._reading.reschedule(min(self._reading.when() or limit_s, limit_s))
 
     async def _until_due(self) -> None:
         self._is_woken.clear()
@@ -174,11 +183,7 @@
         began_s = self._clock.monotonic_s()
         if not self._wait_s and began_s - self._read_s > WHOLE_AFTER_S:
             self._offset = None
-        if self._offset is None:
-            result = await self._feed.newest()
-        else:
-            result = await self._feed.after(self._offset, self._wait_s)
-        match result:
+        match await self._read():
             case Success(Records() as records):
                 self._note_answer()
                 if self._offset is None:
@@ -197,6 +202,21 @@
                 self._note_silence()
                 return False
 
+    async def _read(self) -> Result[Records, FeedFault]:
+        try:
+            async with asyncio.timeout(None) as self._reading:
+                if self._offset is None:
+                    return await self._feed.newest()
+                # While the store is out of touch, a call only finds out whether it
+                # is back.
+                wait_s = 0.0 if self._lost_s is not None else self._wait_s
+                return await self._feed.after(self._offset, wait_s)
+        except TimeoutError:
+            log_event(_log, Event.FEED_OVERTAKEN, feed=self._name)
+            return Failure(FeedFault.UNAVAILABLE)
+        finally:
+            self._reading = None
+
     def _note_read(self, began_s: float) -> None:
         self._read_s = now_s = self._clock.monotonic_s()
         if self._watch is not None and self._offset is not None:
@@ -219,6 +239,7 @@
             )
 
     def _note_answer(self) -> None:
+        self._n_failures = 0
         if self._lost_s is None:
             return
         now_s = self._clock.monotonic_s()
@@ -229,6 +250,7 @@
         self._lost_s = None
 
     def _note_silence(self) -> None:
+        self._n_failures += 1
         if self._lost_s is None:
             self._lost_s = self._clock.monotonic_s()
             log_event(_log, Event.FEED_LOST, feed=self._name)
--- a/src/pomelothread/gateway/process.py
+++ b/src/pomelothread/gateway/process.py
@@ -23,12 +23,12 @@
 from ..policy.crash_guard import CrashGuard
 from ..policy.feed_sharing import FeedWatch, ReadingTimes
 from ..policy.quotas import QuotaBook
+from ..policy.store_calls import call_times
 from .admission import Admission
 from .configuration import Configuration
 from .crashes import CRASHES_WAIT_S, CrashBook
 from .feeds import (
     CONFIGURATION_DUE_SHARES,
-    CONFIGURATION_WAIT_SHARE,
     LISTING_DUE_SHARES,
     Follower,
     KeyedRecord,
@@ -91,7 +91,8 @@
         self._state.start = self._start
         self._upstreams = UpstreamTable(settings.region, settings.regions)
         self._pool = ConnectionPool(clock)
-        self._link = make_link(settings, ConnectionPool(clock))
+        store_pool = ConnectionPool(clock, settings.store_times.connect_s)
+        self._link = make_link(settings, store_pool)
         random_source = random.Random()
         self.metrics = GatewayMetrics(clock)
         self._queue = UpstreamQueue(self._upstreams, clock, random_source)
@@ -269,7 +270,7 @@
             self._clock,
             apply_all=self._apply_configurations,
             apply=self._apply_configuration,
-            wait_s=CONFIGURATION_WAIT_SHARE * self._settings.configuration_bound_s,
+            wait_s=call_times(self._settings.configuration_bound_s).wait_s,
             watch=self._configuration_watch,
             digest=lambda: self.configuration_version or 0,
             has_read=self._queue.load_changed.set,
@@ -446,4 +447,8 @@
 
 
 def _reading_times(shares: tuple[float, float, float], bound_s: float) -> ReadingTimes:
-    return ReadingTimes(*(share * bound_s for share in shares))
+    first_s, second_s, others_s = (share * bound_s for share in shares)
+    times = call_times(bound_s)
+    return ReadingTimes(
+        first_s, second_s, others_s, times.early_pause_s, times.late_pause_s
+    )
--- a/src/pomelothread/gateway/settings.py
+++ b/src/pomelothread/gateway/settings.py
@@ -4,6 +4,7 @@
 
 from ..addresses import Address
 from ..policy.quotas import QuotaTolerance
+from ..policy.store_calls import CallTimes, call_times
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,3 +63,8 @@
     retry_stock: float
     retry_window_s: float
     quota_tolerance: QuotaTolerance
+
+    @property
+    def store_times(self) -> CallTimes:
+        """Limits of calls to the store, for all feeds."""
+        return call_times(min(self.configuration_bound_s, self.leaving_bound_s))
--- a/src/pomelothread/http1/client.py
+++ b/src/pomelothread/http1/client.py
@@ -79,12 +79,17 @@
     ----------
     clock : Clock
         Source of monotonic time.
+    connect_timeout_s : float
+        Longest time for a new connection.
     """
 
-    __slots__ = ("_clock", "_idle", "n_opened")
+    __slots__ = ("_clock", "_connect_timeout_s", "_idle", "n_opened")
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(
+        self, clock: Clock, connect_timeout_s: float = CONNECT_TIMEOUT_S
+    ) -> None:
         self._clock = clock
+        self._connect_timeout_s = connect_timeout_s
         self._idle: dict[Address, list[UpstreamConnection]] = {}
         self.n_opened = 0
 
@@ -119,7 +124,7 @@
         """Return a new connection, or `NOT_CONNECTED`."""
         loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            async with asyncio.timeout(self._connect_timeout_s):
                 _, stream = await loop.create_connection(
                     ByteStream, address.host, address.port
                 )
--- a/src/pomelothread/platform/link.py
+++ b/src/pomelothread/platform/link.py
@@ -30,7 +30,7 @@
     pool : ConnectionPool
         For connections to the store.
     """
-    store = StoreClient(settings.store_address, pool)
+    store = StoreClient(settings.store_address, pool, settings.store_times.answer_s)
     return PlatformLink(
         dialect=PlatformDialect(),
         configurations=TopicFeed(store, CONFIGURATION_TOPIC),
--- a/src/pomelothread/platform/store.py
+++ b/src/pomelothread/platform/store.py
@@ -24,9 +24,6 @@
 CRASH_TOPIC = "keyed.crashes"
 QUOTA_TOPIC = "keyed.quotas"
 
-# Time for an answer beside the wait that a read asks for. A slow store takes
-# some 250 ms; a connection that is silent for longer is given up.
-CALL_MARGIN_S = 0.9
 # The store closes connections that are idle for longer; only reads use them,
 # and a read may be repeated.
 MAX_IDLE_S = 10.0
@@ -60,11 +57,14 @@
         Of the store.
     pool : ConnectionPool
         Connections of its own, so that waiting reads hold up nothing else.
+    answer_s : float
+        Time for an answer, beside the wait that a read asks for.
     """
 
-    def __init__(self, address: Address, pool: ConnectionPool) -> None:
+    def __init__(self, address: Address, pool: ConnectionPool, answer_s: float) -> None:
         self._address = address
         self._pool = pool
+        self._answer_s = answer_s
 
     async def newest(self, topic: str) -> Result[Records, FeedFault]:
         """Return the newest record of each key of a topic."""
@@ -75,7 +75,7 @@
             target = f"/v1/log-newest?topic={topic}&part=0"
             if after:
                 target += f"&after={quote(after, safe='')}"
-            status, body = await self._call("GET", target, b"", CALL_MARGIN_S)
+            status, body = await self._call("GET", target, b"", self._answer_s)
             if status != 200:
                 return Failure(FeedFault.UNAVAILABLE)
             try:
@@ -100,7 +100,7 @@
         target = f"/v1/log-read?topic={topic}&part=0&from={offset}"
         if wait_s:
             target += f"&wait_ms={round(wait_s * 1000)}"
-        status, body = await self._call("GET", target, b"", wait_s + CALL_MARGIN_S)
+        status, body = await self._call("GET", target, b"", wait_s + self._answer_s)
         if status == 410:
             return Failure(FeedFault.EXPIRED)
         if status != 200:
@@ -117,7 +117,7 @@
         content = bytes((len(name),)) + name + value
         body = _LENGTH.pack(len(content)) + content
         target = f"/v1/log-append?topic={topic}&part=0"
-        status, _ = await self._call("POST", target, body, CALL_MARGIN_S)
+        status, _ = await self._call("POST", target, body, self._answer_s)
         return status == 200
 
     async def _call(
@@ -145,6 +145,9 @@
             return 0, b""
         finally:
             exchange.finish(self._pool, self._address)
+            if not exchange.is_complete:
+                # The idle ones have gone silent with it.
+                self._pool.forget(self._address)
 
 
 class TopicFeed:
--- a/src/pomelothread/policy/feed_sharing.py
+++ b/src/pomelothread/policy/feed_sharing.py
@@ -15,6 +15,8 @@
 
 import msgspec
 
+from .store_calls import MAX_EARLY_PAUSE_S, MAX_LATE_PAUSE_S
+
 # What a report tells is taken to be older by this: the time of its way, and the
 # time that it may wait to be read.
 REPORT_DELAY_S = 0.05
@@ -24,8 +26,6 @@
 # Gateways that read again soon after a failed call; the others wait longer, and
 # hear from these when the store is back.
 N_EARLY_RETRIES = 2
-EARLY_RETRY_S = 0.4
-LATE_RETRY_S = 1.0
 
 
 class FeedReport(msgspec.Struct, frozen=True, array_like=True):
@@ -66,11 +66,17 @@
         For the second one, which stands in for the first.
     others_s : float
         For all others.
+    early_retry_s : float
+        Pause after a failed read of one of the first gateways.
+    late_retry_s : float
+        Pause after a failed read of the others.
     """
 
     first_s: float
     second_s: float
     others_s: float
+    early_retry_s: float = MAX_EARLY_PAUSE_S
+    late_retry_s: float = MAX_LATE_PAUSE_S
 
 
 def rank_among(own_key: tuple[int, str], others: Iterable[tuple[int, str]]) -> int:
@@ -155,7 +161,9 @@
     @property
     def retry_s(self) -> float:
         """Seconds between a failed read and the next one."""
-        return EARLY_RETRY_S if self.rank < N_EARLY_RETRIES else LATE_RETRY_S
+        if self.rank < N_EARLY_RETRIES:
+            return self._times.early_retry_s
+        return self._times.late_retry_s
 
     @property
     def back_s(self) -> float | None:
--- a/tests/test_feed_sharing.py
+++ b/tests/test_feed_sharing.py
@@ -9,7 +9,6 @@
 from pomelothread.gateway.feeds import (
     ANSWER_AGE_S,
     CONFIGURATION_DUE_SHARES,
-    CONFIGURATION_WAIT_SHARE,
     LISTING_DUE_SHARES,
     KeyedRecord,
 )
@@ -21,6 +20,7 @@
     ReadingTimes,
     rank_among,
 )
+from pomelothread.policy.store_calls import SOUND_CALL_S, call_times
 
 BOUND_S = 5.0
 STEP_S = 0.05
@@ -114,7 +114,7 @@
 
 
 FEEDS = {
-    "configuration": (CONFIGURATION_DUE_SHARES, CONFIGURATION_WAIT_SHARE * BOUND_S),
+    "configuration": (CONFIGURATION_DUE_SHARES, call_times(BOUND_S).wait_s),
     "upstreams": (LISTING_DUE_SHARES, 0.0),
 }
 
@@ -159,6 +159,20 @@
             assert fleet.latency_s() < BOUND_S - CALL_S
 
 
+# Bounds of the users' deployments, and of 1 s.
+@pytest.mark.parametrize("bound_s", [1.0, 1.5, 2.0, 3.0, 4.0, 5.0, 8.0])
+def test_the_limits_of_calls_add_up_to_less_than_the_bound(bound_s):
+    times = call_times(bound_s)
+    assert min(times.wait_s, times.early_pause_s, times.connect_s) > 0.0
+    assert times.answer_s >= SOUND_CALL_S
+    assert times.slowest_change_s < bound_s
+    stand_in_s = CONFIGURATION_DUE_SHARES[-1] * bound_s + SOUND_CALL_S
+    assert stand_in_s < bound_s
+    # The reader of the list, on a connection that has gone silent.
+    read_s = LISTING_DUE_SHARES[0] * bound_s + times.answer_s + SOUND_CALL_S
+    assert read_s < bound_s
+
+
 def test_a_gateway_behind_reads_at_once_and_one_ahead_does_not():
     watch = FeedWatch(ReadingTimes(1.0, 2.0, 3.0))
     watch.note_read(7, 10, 100.0)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -233,12 +233,14 @@
     assert (b"x-attempt-id", b"id") in headers
 
 
-async def with_store(use):
+async def with_store(use, answer_s=0.9, needs_pool=False):
     store = PlatformStore()
     await store.http.start()
     pool = ConnectionPool(SystemClock())
     try:
-        await use(store, StoreClient(Address("127.0.0.1", store.http.port), pool))
+        address = Address("127.0.0.1", store.http.port)
+        client = StoreClient(address, pool, answer_s)
+        await use(store, client, *((pool,) if needs_pool else ()))
     finally:
         await store.http.stop()
 
@@ -260,16 +262,31 @@
 
 
 @pytest.mark.parametrize("fault", ["is_down", "is_silent"])
-async def test_a_store_that_does_not_answer_is_a_value(fault, monkeypatch):
+async def test_a_store_that_does_not_answer_is_a_value(fault):
     async def use(store, client):
-        monkeypatch.setattr("pomelothread.platform.store.CALL_MARGIN_S", 0.05)
         setattr(store, fault, True)
         feed = TopicFeed(client, "keyed.x")
         assert (await feed.newest()).failure() is FeedFault.UNAVAILABLE
         assert (await feed.after(0, 0.0)).failure() is FeedFault.UNAVAILABLE
         assert not await client.append("keyed.x", "a", b"1")
 
-    await with_store(use)
+    await with_store(use, answer_s=0.05)
+
+
+async def test_a_call_without_an_answer_closes_the_idle_connections_too():
+    # They have gone silent with it: each would take a call's whole time to notice.
+    async def use(store, client, pool):
+        feed = TopicFeed(client, "keyed.x")
+        await asyncio.gather(feed.newest(), feed.newest(), feed.newest())
+        n_opened = pool.n_opened
+        store.is_silent = True
+        assert (await feed.newest()).failure() is FeedFault.UNAVAILABLE
+        store.is_silent = False
+        assert pool.n_opened == n_opened
+        assert (await feed.newest()).unwrap() == Records((), 0)
+        assert pool.n_opened == n_opened + 1
+
+    await with_store(use, answer_s=0.05, needs_pool=True)
 
 
 async def test_a_lost_answer_to_an_append_is_not_taken_for_success():
@@ -280,15 +297,21 @@
     await with_store(use)
 
 
+SILENT = object()
+
+
 class ScriptedFeed:
     def __init__(self, *results):
         self.results = list(results)
+        self.waits_s = []
 
     async def newest(self):
         return self.results.pop(0)
 
     async def after(self, offset, wait_s):
-        return self.results.pop(0)
+        self.waits_s.append(wait_s)
+        result = self.results.pop(0)
+        return await asyncio.Future() if result is SILENT else result
 
 
 def listing_book(clock, store_back_s=lambda: None):
@@ -335,6 +358,60 @@
     assert [u.listing.upstream_id for u in table.all()] == ["back"]
 
 
+class PausesAtOnce(ManualClock):
+    n_pauses = 0
+
+    async def sleep(self, delay_s):
+        self.n_pauses += 1
+
+
+def follow_configuration(feed, clock):
+    return Follower(
+        "configuration", feed, clock, apply_all=lambda records: None,
+        apply=lambda record: None, wait_s=1.5, watch=FeedWatch(ReadingTimes(0, 1, 2)),
+    )  # fmt: skip
+
+
+def test_a_gateway_out_of_touch_probes_at_once_and_does_not_wait_for_changes():
+    # Seen on further scale-2: a gateway that had been cut off waited 3.4 s and more
+    # for its first answer, for a bound of 3.0 s.
+    clock = PausesAtOnce(datetime(2026, 3, 1, tzinfo=UTC))
+    failed, nothing = Failure(FeedFault.UNAVAILABLE), Success(Records((), 3))
+    feed = ScriptedFeed(nothing, nothing, failed, failed, failed, nothing, nothing)
+    feed.results.append(SILENT)
+    follower = follow_configuration(feed, clock)
+
+    async def play():
+        following = asyncio.ensure_future(follower.run())
+        while feed.results:
+            await asyncio.sleep(0)
+        following.cancel()
+
+    asyncio.run(play())
+    assert feed.waits_s == [1.5, 1.5, 0.0, 0.0, 0.0, 1.5, 1.5]
+    assert clock.n_pauses == 2
+
+
+def test_a_read_that_misses_what_a_peer_knows_is_given_up(monkeypatch):
+    monkeypatch.setattr("pomelothread.gateway.feeds.OVERTAKEN_S", 0.0)
+    clock = ManualClock(datetime(2026, 3, 1, tzinfo=UTC))
+    nothing = Success(Records((), 3))
+    feed = ScriptedFeed(nothing, SILENT, nothing)
+    follower = follow_configuration(feed, clock)
+
+    async def play():
+        assert await follower.step()
+        reading = asyncio.ensure_future(follower.step())
+        while len(feed.results) > 1:
+            await asyncio.sleep(0)
+        follower.wake()
+        assert not await reading
+        assert await follower.step()
+
+    asyncio.run(play())
+    assert feed.waits_s == [1.5, 0.0]
+
+
 def test_an_upstream_that_started_again_is_a_new_one():
     clock = ManualClock(datetime(2026, 3, 1, tzinfo=UTC))
     table, book = listing_book(clock)
--- a/tests/test_upstreams_in_trouble.py
+++ b/tests/test_upstreams_in_trouble.py
@@ -141,7 +141,7 @@
 async def test_an_answer_of_the_store_without_end_is_none(first, again):
     async with raw_server(without_end(first, again)) as server:
         address = parse_address(server.url.removeprefix("http://").rstrip("/"))
-        client = StoreClient(address, ConnectionPool(SystemClock()))
+        client = StoreClient(address, ConnectionPool(SystemClock()), 0.9)
         tracemalloc.start()
         results = [
             await client.newest("keyed.op"),
@@ -161,7 +161,7 @@
     head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(page)
     async with raw_server(answers(head + page, closes=False)) as server:
         address = parse_address(server.url.removeprefix("http://").rstrip("/"))
-        client = StoreClient(address, ConnectionPool(SystemClock()))
+        client = StoreClient(address, ConnectionPool(SystemClock()), 0.9)
         result = await client.newest("keyed.op")
         assert result.failure() is FeedFault.UNAVAILABLE
         assert len(server.received) == MAX_PAGES
