Write log lines in parts that a pipe takes whole

In a crest, of each 0.2 s only the first 16 lines reached the reader and the last of them ended in its middle: the lines of 0.2 s were one write of up to 50 KB. A pipe takes 4,096 bytes whole or not at all, so lines are now written in parts up to that size.

--- a/src/pomelothread/log_output.py
+++ b/src/pomelothread/log_output.py
@@ -7,6 +7,7 @@
 import collections
 import logging
 import threading
+from collections.abc import Iterator
 from typing import TextIO
 
 # Lines that wait at most; at 500 bytes each they take 1 MB.
@@ -14,6 +15,9 @@
 # Lines are written together at this interval, which also bounds the volume to
 # `MAX_WAITING_LINES` in each.
 WRITE_INTERVAL_S = 0.2
+# A write of up to this size to a pipe is whole or not done at all (PIPE_BUF); a
+# longer one may be cut in the middle of a line.
+MAX_WRITE_BYTES = 4_096
 
 
 class QueueingHandler(logging.Handler):
@@ -74,9 +78,25 @@
         lines = [self._lines.popleft() for _ in range(len(self._lines))]
         if not lines:
             return
-        try:
-            self._stream.write("\n".join(lines) + "\n")
-            self._stream.flush()
-        except (OSError, ValueError):
-            # Nobody reads any more, and there is nowhere to say so.
-            self.n_dropped += len(lines)
+        for batch in _batches(lines):
+            try:
+                self._stream.write("\n".join(batch) + "\n")
+                self._stream.flush()
+            except (OSError, ValueError):
+                # Nobody reads any more, and there is nowhere to say so.
+                self.n_dropped += len(batch)
+
+
+def _batches(lines: list[str]) -> Iterator[list[str]]:
+    """Divide lines into parts that are written at once, of one line or more."""
+    batch: list[str] = []
+    n_bytes = 0
+    for line in lines:
+        n_line = len(line.encode()) + 1
+        if batch and n_bytes + n_line > MAX_WRITE_BYTES:
+            yield batch
+            batch, n_bytes = [], 0
+        batch.append(line)
+        n_bytes += n_line
+    if batch:
+        yield batch
--- a/tests/test_log_output.py
+++ b/tests/test_log_output.py
@@ -54,3 +54,24 @@
     emit(handler, 2)
     handler.close()
     assert handler.n_dropped == 2
+
+
+class WritesOfAPipe(io.StringIO):
+    """Keeps of each write what a pipe takes at once."""
+
+    def write(self, text):
+        return super().write(text[:4096])
+
+
+def test_lines_of_a_busy_moment_are_not_cut():
+    # Seen on further scale-2: of each 0.2 s, the first 16 lines were kept and the
+    # last of them ended in its middle, the lines on the configuration among them.
+    stream = WritesOfAPipe()
+    handler = QueueingHandler(stream)
+    emit(handler, 1000)
+    handler.emit(logging.LogRecord("x", 20, "f", 1, "é" * 300, (), None))
+    emit(handler, 100)
+    handler.close()
+    lines = stream.getvalue().splitlines()
+    assert lines[999:1002] == ["line 999", "é" * 300, "line 0"]
+    assert len(lines) == 1101
