--- a/src/pomelothread/gateway/queue.py
+++ b/src/pomelothread/gateway/queue.py
@@ -6,12 +6,13 @@
 
 from ..clock import Clock
 from ..policy.upstream_choice import (
+    ShortestStart,
     Wanted,
     choose_upstream,
     has_free_slot,
     may_take_from_s,
-    shortest_start_s,
-    usable,
+    may_take_now,
+    untried,
 )
 from ..policy.waiting_order import gives_up_at_s, place_in_queue
 from .jobs import Job
@@ -23,6 +24,8 @@
 # A slot that has just become free is left to a peer with a more urgent request
 # for this long: about one message between regions.
 YIELD_S = 0.06
+# Messages of peers within this time lead to one look at the waiting requests.
+GATHER_S = 0.005
 # What waits at most. Machines of 200 MB hold this beside the program and open
 # streams; a request of usual size takes 20 KB.
 MAX_WAITING = 1_000
@@ -92,6 +95,7 @@
         self._tickets: dict[str, list[_Ticket]] = {}
         self._peer_urgencies: dict[str, int] = {}
         self._recheck: asyncio.TimerHandle | None = None
+        self._serve_soon: asyncio.TimerHandle | None = None
         self.load_changed: asyncio.Event = asyncio.Event()
 
     @property
@@ -167,6 +171,16 @@
         self._tickets[last.job.service].remove(last)
         last.granted.set_result(NoSlot(had_upstream=True))
 
+    def serve_soon(self) -> None:
+        """Give free slots to waiting requests once for several messages of peers."""
+        if self._serve_soon is None:
+            loop = asyncio.get_running_loop()
+            self._serve_soon = loop.call_later(GATHER_S, self._on_serve_soon)
+
+    def _on_serve_soon(self) -> None:
+        self._serve_soon = None
+        self.serve_all()
+
     def serve_all(self) -> None:
         """Give free slots to waiting requests of all services."""
         for service in list(self._tickets):
@@ -183,24 +197,29 @@
         if may_take_from_s(upstreams, frozenset()) > now_s:
             self._give_up_before_rests_end(service, now_s)
             return
-        if not has_free_slot(upstreams):
+        # With many waiting, a look at each of them is dear, and most events free
+        # nothing that any could take.
+        open_now = may_take_now(upstreams, now_s)
+        if not has_free_slot(open_now):
             return
+        shortest_start_s = ShortestStart(upstreams)
         tickets.sort(
             key=lambda ticket: place_in_queue(
                 ticket.job.waiting,
                 now_s,
-                shortest_start_s(upstreams, _wanted_by(ticket.job, now_s)),
+                shortest_start_s(_wanted_by(ticket.job, now_s)),
             )
         )
         for ticket in list(tickets):
             if ticket.granted.done():
                 tickets.remove(ticket)
                 continue
-            upstream = self._choose(ticket.job, now_s)
+            upstream = self._choose(ticket.job, open_now, now_s)
             if upstream is not None:
                 tickets.remove(ticket)
                 ticket.granted.set_result(self._take(upstream, ticket.job, now_s))
-                if not has_free_slot(upstreams):
+                open_now = may_take_now(open_now, now_s)
+                if not has_free_slot(open_now):
                     return
 
     def _give_up_before_rests_end(self, service: str, now_s: float) -> None:
@@ -247,13 +266,14 @@
 
     def _usable(self, job: Job) -> list[Upstream]:
         now_s = self._clock.monotonic_s()
-        return usable(
-            self._table.of_service(job.service), _wanted_by(job, now_s), now_s
-        )
+        open_now = may_take_now(self._table.of_service(job.service), now_s)
+        return untried(open_now, job.tried)
 
-    def _choose(self, job: Job, now_s: float) -> Upstream | None:
+    def _choose(
+        self, job: Job, open_now: list[Upstream], now_s: float
+    ) -> Upstream | None:
         wanted = _wanted_by(job, now_s)
-        candidates = usable(self._table.of_service(job.service), wanted, now_s)
+        candidates = untried(open_now, job.tried)
         peer_urgency = self._peer_urgencies.get(job.service)
         waiting = job.waiting
         is_late = now_s > waiting.aim_at_s
@@ -276,5 +296,4 @@
         n_prompt_tokens=job.facts.n_prompt_tokens,
         is_stream=job.route.is_streaming,
         aim_left_s=job.waiting.aim_at_s - now_s,
-        tried=frozenset(job.tried),
     )
--- a/src/pomelothread/gateway/reports.py
+++ b/src/pomelothread/gateway/reports.py
@@ -225,7 +225,7 @@
         named = (self._upstreams.get(upstream_id) for upstream_id in peer.changed)
         self._refresh(upstream for upstream in named if upstream is not None)
         self._queue.set_peer_urgencies(self._peers.most_urgent_waiting())
-        self._queue.serve_all()
+        self._queue.serve_soon()
 
     def _hear_division(self, sizes: list[int]) -> None:
         before = self._peers.n_cells
--- a/src/pomelothread/policy/upstream_choice.py
+++ b/src/pomelothread/policy/upstream_choice.py
@@ -5,7 +5,7 @@
 """
 
 import random
-from collections.abc import Iterable, Sequence
+from collections.abc import Container, Iterable, Sequence
 from dataclasses import dataclass
 
 from ..gateway.upstreams import Upstream
@@ -40,40 +40,42 @@
         Whether the response is a stream of events.
     aim_left_s : float
         Seconds until the response is late.
-    tried : frozenset of str
-        Upstreams that have had this request.
     """
 
     n_prompt_tokens: int
     is_stream: bool
     aim_left_s: float
-    tried: frozenset[str] = frozenset()
 
 
-def usable(
-    upstreams: Iterable[Upstream], wanted: Wanted, now_s: float
-) -> list[Upstream]:
-    """Return the upstreams that may get the request at some time.
+def may_take_now(upstreams: Iterable[Upstream], now_s: float) -> list[Upstream]:
+    """Return the upstreams that may get a request as soon as a slot is free.
 
     Parameters
     ----------
     upstreams : iterable of Upstream
         All of the service.
-    wanted : Wanted
-        The request.
     now_s : float
         Monotonic time.
 
     Returns
     -------
     list of Upstream
-        Without leaving, resting and tried ones.
+        Without leaving and resting ones.
+    """
+    return [upstream for upstream in upstreams if upstream.may_take(now_s)]
+
+
+def untried(upstreams: list[Upstream], tried: Container[str]) -> list[Upstream]:
+    """Return the upstreams that have not had a request yet.
+
+    Parameters
+    ----------
+    upstreams : list of Upstream
+        Those that may take one.
+    tried : container of str
+        Upstreams that have had it.
     """
-    return [
-        upstream
-        for upstream in upstreams
-        if upstream.may_take(now_s) and upstream.listing.upstream_id not in wanted.tried
-    ]
+    return [u for u in upstreams if u.listing.upstream_id not in tried]
 
 
 def may_take_from_s(upstreams: Iterable[Upstream], tried: frozenset[str]) -> float:
@@ -169,18 +171,29 @@
     return start_s + TYPICAL_EVENTS * upstream.speed.gap_s / (n_slots + 1)
 
 
-def shortest_start_s(upstreams: Iterable[Upstream], wanted: Wanted) -> float:
-    """Predict the seconds to the first byte at the fastest upstream when idle."""
-    if not wanted.is_stream:
-        return min((u.speed.response_s for u in upstreams), default=0.0)
-    return min(
-        (
-            predict_first_event_s(u.speed, wanted.n_prompt_tokens, 0)
-            for u in upstreams
-            if not u.is_leaving
-        ),
-        default=0.0,
-    )
+class ShortestStart:
+    """Predicts the seconds to the first byte at the fastest upstream when idle.
+
+    Parameters
+    ----------
+    upstreams : iterable of Upstream
+        All of the service; looked at once for many requests.
+    """
+
+    __slots__ = ("_fastest", "_response_s")
+
+    def __init__(self, upstreams: Iterable[Upstream]) -> None:
+        speeds = [u.speed for u in upstreams if not u.is_leaving]
+        self._fastest = min(speeds, key=lambda s: s.first_factor, default=None)
+        self._response_s = min((speed.response_s for speed in speeds), default=0.0)
+
+    def __call__(self, wanted: Wanted) -> float:
+        """Return the seconds for one request; 0.0 without any upstream."""
+        if not wanted.is_stream:
+            return self._response_s
+        if self._fastest is None:
+            return 0.0
+        return predict_first_event_s(self._fastest, wanted.n_prompt_tokens, 0)
 
 
 def _cost_s(upstream: Upstream, wanted: Wanted) -> float:
--- a/tests/test_gateway_queue.py
+++ b/tests/test_gateway_queue.py
@@ -79,3 +79,35 @@
     queue, _, clock = make_queue()
     await fill(queue, clock)
     assert await queue.acquire(make_job(clock.monotonic_s())) == NoSlot(True)
+
+
+async def test_many_waiting_requests_cost_nothing_while_no_slot_is_free(monkeypatch):
+    # Seen on further scale-2: while two upstreams rested, each message of a peer
+    # made a gateway look at every waiting request at every upstream. It had no time
+    # left for its callers, nor to read the store after it had been cut off.
+    clock = SystemClock()
+    table = UpstreamTable("r", {})
+    for number in range(3):
+        address = Address("127.0.0.1", number + 1)
+        listing = UpstreamListing(f"e{number}", "engines", address, "z", 4, False, 1)
+        table.put(listing).n_running = 4 + N_AHEAD
+    resting = table.get("e0")
+    resting.n_running = 0
+    resting.health.observe_failure(clock.monotonic_s(), is_certain=True)
+    resting.health.rests_until_s += 3_600.0
+    queue = UpstreamQueue(table, clock, random.Random(1))
+    looks = []
+    monkeypatch.setattr(
+        "pomelothread.gateway.queue.place_in_queue", lambda *key: looks.append(key)
+    )
+    waiting = [
+        asyncio.ensure_future(queue.acquire(make_job(clock.monotonic_s())))
+        for _ in range(50)
+    ]
+    await asyncio.sleep(0)
+    queue.serve_all()
+    assert queue.n_waiting == 50
+    assert looks == []
+    for task in waiting:
+        task.cancel()
+    await asyncio.gather(*waiting, return_exceptions=True)
--- a/tests/test_policy_placing.py
+++ b/tests/test_policy_placing.py
@@ -9,10 +9,11 @@
 from pomelothread.gateway.upstreams import Upstream, UpstreamListing, UpstreamTable
 from pomelothread.policy.upstream_choice import (
     N_AHEAD,
+    ShortestStart,
     Wanted,
     choose_upstream,
-    shortest_start_s,
-    usable,
+    may_take_now,
+    untried,
 )
 from pomelothread.policy.upstream_health import HealthRecord, mean_failure_share
 from pomelothread.policy.upstream_speed import SpeedEstimate
@@ -86,8 +87,8 @@
     engines = [make_upstream(name) for name in ("tried", "resting", "good")]
     engines.append(make_upstream("leaving", is_leaving=True))
     engines[1].health.observe_failure(0.0, is_certain=True)
-    wanted = Wanted(1000, True, 1.0, frozenset(("tried",)))
-    names = [u.listing.upstream_id for u in usable(engines, wanted, 0.1)]
+    found = untried(may_take_now(engines, 0.1), {"tried"})
+    names = [u.listing.upstream_id for u in found]
     assert names == ["good"]
 
 
@@ -241,7 +242,7 @@
 
 
 def by_policy(f, now_s, engines):
-    start_s = shortest_start_s(engines, Wanted(1000, True, 1.0))
+    start_s = ShortestStart(engines)(Wanted(1000, True, 1.0))
     return place_in_queue(f, now_s, start_s)
 
 
