Learn what a prompt costs beside what every request costs

The time to the first event was predicted with one ratio of tokens to fixed time and one factor an engine. Where engines read 125 tokens in a millisecond behind 62 ms, prompts of 20,000 tokens seemed later than their aim on arrival and went behind all others. A line through the responses of a service, by relative errors, now gives both figures; the factor of an engine stays. Among requests of one urgency the one that has to be sent first goes first, so a long prompt goes before a short one of the same age.

--- a/src/pomelothread/gateway/attempt.py
+++ b/src/pomelothread/gateway/attempt.py
@@ -21,7 +21,7 @@
     Unsent,
     Withheld,
 )
-from ..policy.upstream_speed import nominal_first_event_s, predict_first_event_s
+from ..policy.upstream_speed import predict_first_event_s
 from .dialect import Dialect, ResponseFacts
 from .events_of_stream import EventSplitter
 from .jobs import Job
@@ -310,9 +310,7 @@
         self.first_event_s = now_s - self._sent_s
         lease = self._lease
         n_tokens = lease.n_prompt_tokens + lease.n_pending_tokens
-        lease.upstream.speed.observe_first(
-            self.first_event_s, nominal_first_event_s(n_tokens)
-        )
+        lease.upstream.speed.observe_first(self.first_event_s, n_tokens)
         self._queue.note_first_event(lease)
 
     async def _unless_silent(
--- a/src/pomelothread/gateway/upstreams.py
+++ b/src/pomelothread/gateway/upstreams.py
@@ -7,7 +7,7 @@
 from ..policy.cells import part_of_cell
 from ..policy.departures import DepartureBook, UpstreamStart
 from ..policy.upstream_health import HealthRecord
-from ..policy.upstream_speed import SpeedEstimate
+from ..policy.upstream_speed import SpeedEstimate, StartModel
 
 
 @dataclass(frozen=True, slots=True)
@@ -136,6 +136,7 @@
         "_of_cell",
         "_region",
         "_regions",
+        "_starts",
     )
 
     def __init__(self, region: str, regions: dict[str, str]) -> None:
@@ -144,6 +145,7 @@
         self._departures = DepartureBook()
         self._by_id: dict[str, Upstream] = {}
         self._by_service: dict[str, list[Upstream]] = {}
+        self._starts: dict[str, StartModel] = {}
         self._cell = 0
         self._cell_sizes: tuple[int, ...] = (1,)
         self._of_cell: dict[str, list[Upstream]] = {}
@@ -220,9 +222,11 @@
         if known is not None:
             self._by_service[known.listing.service].remove(known)
         region = self._regions.get(listing.failure_domain)
+        start = self._starts.setdefault(listing.service, StartModel())
         upstream = Upstream(
             listing,
             region is None or region == self._region,
+            SpeedEstimate(start=start),
             has_said_to_leave=listing.start in self._departures,
         )
         self._by_id[listing.upstream_id] = upstream
--- a/src/pomelothread/policy/waiting_order.py
+++ b/src/pomelothread/policy/waiting_order.py
@@ -113,13 +113,11 @@
     Returns
     -------
     tuple of (bool, int, float)
-        Late ones last, then by urgency, then by the time at which they are late.
+        Late ones last, then by urgency, then by the time at which they have to be
+        sent to be on time: a long prompt goes before a short one of the same age.
     """
-    return (
-        now_s + start_s > facts.aim_at_s,
-        facts.urgency,
-        facts.aim_at_s,
-    )
+    send_by_s = facts.aim_at_s - start_s
+    return (now_s > send_by_s, facts.urgency, send_by_s)
 
 
 def for_repeat(
