--- a/src/pomelothread/events.py
+++ b/src/pomelothread/events.py
@@ -322,16 +322,16 @@
         logging.ERROR,
         "answer of the store for %(feed)s is malformed: %(detail)s",
     )
-    FEED_OVERTAKEN = (
-        835,
-        logging.WARNING,
-        "read of %(feed)s given up: a peer knows something newer",
-    )
     FEED_RECORD_FAILED = (
         834,
         logging.ERROR,
         "record %(key)s of %(feed)s skipped after an unexpected error: %(detail)s",
     )
+    FEED_OVERTAKEN = (
+        835,
+        logging.WARNING,
+        "read of %(feed)s given up: a peer knows something newer",
+    )
     UPSTREAM_LISTED = (
         840,
         logging.INFO,
