Log and count the limits that upstreams name

Change: the adapter reads Server-Limit; policy/rate_limits.py keeps the newest statement of each start of an upstream, with tables for unusable values and for the life of a limit. Events 847 and 848 say when a limit is learned, changes and ends, with its age and source; two metrics count limited upstreams and what is sent to them. Nothing that is sent depends on a limit yet.

--- a/src/pomelothread/events.py
+++ b/src/pomelothread/events.py
@@ -372,6 +372,19 @@
         logging.INFO,
         "gateway %(peer)s reported that upstream %(upstream)s is shutting down",
     )
+    UPSTREAM_LIMIT_LEARNED = (
+        847,
+        logging.WARNING,
+        "upstream %(upstream)s takes %(rate_per_s)s requests a second from all "
+        "gateways together, %(before_per_s)s before; stated %(age_s)s s ago, learned "
+        "from %(source)s",
+    )
+    UPSTREAM_LIMIT_ENDED = (
+        848,
+        logging.INFO,
+        "upstream %(upstream)s no longer limits its requests to %(before_per_s)s a "
+        "second; stated %(age_s)s s ago, learned from %(source)s",
+    )
     GATEWAY_PEER_UP = (850, logging.INFO, "gateway %(peer)s at %(address)s is up")
     GATEWAY_PEER_SILENT = (
         851,
--- a/src/pomelothread/gateway/attempt.py
+++ b/src/pomelothread/gateway/attempt.py
@@ -12,6 +12,7 @@
 from ..http1.client import ConnectionPool, EndOfBody, Exchange, ExchangeFault
 from ..http1.messages import Headers, ResponseHead, end_to_end, header
 from ..http1.server import Responder
+from ..policy.rate_limits import NoRateLimit, read_rate_statement
 from ..policy.repeats import (
     AttemptEnd,
     Broken,
@@ -25,6 +26,7 @@
 from .dialect import Dialect, ResponseFacts
 from .events_of_stream import EventSplitter
 from .jobs import Job
+from .limit_log import log_limit_change
 from .queue import Lease, UpstreamQueue
 from .upstreams import UpstreamTable
 
@@ -192,6 +194,7 @@
         self.status = head.status
         self._lease.upstream.last_activity_s = self._clock.monotonic_s()
         facts = self._dialect.read_response(head)
+        self._observe_rate_limit(facts)
         if exchange.is_on_reused_connection and not facts.has_request_id:
             # It may be a duplicate of the response to an earlier request.
             return Broken("response without a request id")
@@ -232,6 +235,21 @@
                 rest_s=round(facts.requested_rest_s, 3),
             )
 
+    def _observe_rate_limit(self, facts: ResponseFacts) -> None:
+        """Record whether the upstream limits the requests that it takes."""
+        if facts.is_other_upstream:
+            return
+        statement = read_rate_statement(facts.rate_limits)
+        if isinstance(statement, NoRateLimit) and not facts.has_request_id:
+            # It may be the late response to an earlier request.
+            return
+        listing = self._lease.upstream.listing
+        change = self._upstreams.observe_rate_limit(
+            listing.start, statement, self._sent_s, self._clock.monotonic_s()
+        )
+        if change is not None:
+            log_limit_change(change, f"request {self._job.request_id}")
+
     async def _buffer_failure(
         self, exchange: Exchange, head: ResponseHead
     ) -> AttemptEnd:
--- a/src/pomelothread/gateway/dialect.py
+++ b/src/pomelothread/gateway/dialect.py
@@ -66,6 +66,8 @@
         Whether the upstream that responds announces that it is leaving.
     requested_rest_s : float or None
         Seconds for which the upstream asks for no further requests.
+    rate_limits : tuple of bytes
+        Requests a second that it takes from all instances, as it has written them.
     """
 
     has_request_id: bool
@@ -74,6 +76,7 @@
     is_other_upstream: bool
     is_leaving: bool
     requested_rest_s: float | None
+    rate_limits: tuple[bytes, ...] = ()
 
 
 class Dialect(Protocol):
--- a/src/pomelothread/gateway/metrics.py
+++ b/src/pomelothread/gateway/metrics.py
@@ -47,6 +47,14 @@
         self.configuration = self._metrics.gauge(
             "gateway_configuration_version", "Version of the configuration in force."
         )
+        self.limited_upstreams = self._metrics.gauge(
+            "gateway_limited_upstreams", "Upstreams that limit the requests they take."
+        )
+        self._limited_sends = self._metrics.counter(
+            "gateway_limited_sends_total",
+            "Requests sent to upstreams while they limited them.",
+            "upstream",
+        )
         self.lines_dropped = self._metrics.gauge(
             "gateway_log_lines_dropped", "Log lines that nobody read in time."
         )
@@ -65,6 +73,10 @@
         """Record how long a request waited before it was sent."""
         self._wait.labels(service).observe(waited_s)
 
+    def record_limited_send(self, upstream_id: str) -> None:
+        """Count a request that was sent to an upstream that names a limit."""
+        self._limited_sends.labels(upstream_id).add()
+
     def record_attempt(self, service: str, end: str, first_s: float | None) -> None:
         """Count an attempt that has ended."""
         self._attempts.labels(service, end).add()
--- a/src/pomelothread/gateway/process.py
+++ b/src/pomelothread/gateway/process.py
@@ -194,6 +194,13 @@
         upstream = self._upstreams.get(upstream_id)
         return upstream is None or upstream.is_leaving
 
+    def rate_limit_per_s(self, upstream_id: str) -> float | None:
+        """Return the requests a second that an upstream takes; None if unlimited."""
+        upstream = self._upstreams.get(upstream_id)
+        if upstream is None:
+            return None
+        return self._upstreams.rate_limit_per_s(upstream.listing.start)
+
     def stop(self) -> None:
         """Start the graceful shutdown, as SIGTERM does."""
         self._stopping.set()
@@ -259,6 +266,9 @@
         metrics = self.metrics
         metrics.waiting.labels().set_function(lambda: self._queue.n_waiting)
         metrics.open.labels().set_function(lambda: self._state.n_open)
+        metrics.limited_upstreams.labels().set_function(
+            lambda: self._upstreams.n_limited
+        )
         metrics.peers.labels().set_function(lambda: len(self._peers))
         metrics.configuration.labels().set_function(
             lambda: self.configuration_version or 0
--- a/src/pomelothread/gateway/upstreams.py
+++ b/src/pomelothread/gateway/upstreams.py
@@ -6,6 +6,7 @@
 from ..addresses import Address
 from ..policy.cells import upstreams_of_cell
 from ..policy.departures import DepartureTracker, UpstreamStart
+from ..policy.rate_limits import LimitChange, RateLimitTracker, RateStatement
 from ..policy.upstream_health import HealthRecord
 from ..policy.upstream_speed import FirstEventModel, SpeedEstimate
 
@@ -140,6 +141,7 @@
         "_cell",
         "_cell_sizes",
         "_departures",
+        "_rate_limits",
         "_region",
         "_regions",
         "_starts",
@@ -149,6 +151,7 @@
         self._region = region
         self._regions = regions
         self._departures = DepartureTracker()
+        self._rate_limits = RateLimitTracker()
         self._by_id: dict[str, Upstream] = {}
         self._by_service: dict[str, list[Upstream]] = {}
         self._starts: dict[str, FirstEventModel] = {}
@@ -270,6 +273,28 @@
         ]
         return listed[-limit:]
 
+    def rate_limit_per_s(self, start: UpstreamStart) -> float | None:
+        """Return the requests a second that an upstream takes; None if unlimited."""
+        return self._rate_limits.rate_per_s(start)
+
+    @property
+    def n_limited(self) -> int:
+        """Number of listed upstreams that name a limit."""
+        return sum(
+            self.rate_limit_per_s(u.listing.start) is not None
+            for u in self._by_id.values()
+        )
+
+    def observe_rate_limit(
+        self,
+        start: UpstreamStart,
+        statement: RateStatement,
+        sent_s: float,
+        now_s: float,
+    ) -> LimitChange | None:
+        """Record what a response says about a limit; return what has changed."""
+        return self._rate_limits.observe(start, statement, sent_s, now_s)
+
     def _mark_leaving(self, start: UpstreamStart) -> None:
         upstream = self._by_id.get(start.upstream_id)
         if upstream is not None and upstream.listing.start == start:
--- a/src/pomelothread/http1/messages.py
+++ b/src/pomelothread/http1/messages.py
@@ -1,7 +1,10 @@
 """Requests, response heads and headers, independent of the HTTP library."""
 
+import math
 from dataclasses import dataclass
 
+import msgspec
+
 Headers = tuple[tuple[bytes, bytes], ...]
 
 # Headers that apply to one hop only (RFC 9110, 7.6.1), and message framing, which is
@@ -84,6 +87,57 @@
     return next((value for key, value in headers if key == name), None)
 
 
+def header_values(headers: Headers, name: bytes) -> tuple[bytes, ...]:
+    """Return all values of a header, in the order of its lines.
+
+    Parameters
+    ----------
+    headers : tuple of (bytes, bytes)
+        Names in lower case.
+    name : bytes
+        Name in lower case.
+
+    Returns
+    -------
+    tuple of bytes
+        Empty if the header is missing.
+
+    Examples
+    --------
+    >>> header_values(((b"via", b"a"), (b"host", b"h"), (b"via", b"b")), b"via")
+    (b'a', b'b')
+    """
+    return tuple(value for key, value in headers if key == name)
+
+
+def parse_number(value: bytes | None) -> float | None:
+    """Parse a header's value as a number.
+
+    Parameters
+    ----------
+    value : bytes or None
+        The value, if the header is present.
+
+    Returns
+    -------
+    float or None
+        A finite number that is not negative; None for anything else, so that a
+        malformed header is treated as a missing one.
+
+    Examples
+    --------
+    >>> parse_number(b"1.5"), parse_number(b"-1"), parse_number(b"soon")
+    (1.5, None, None)
+    """
+    if value is None:
+        return None
+    try:
+        number = msgspec.json.decode(value, type=float)
+    except msgspec.MsgspecError:
+        return None
+    return number if 0 <= number < math.inf else None
+
+
 def end_to_end(headers: Headers) -> list[tuple[bytes, bytes]]:
     """Return the headers that are forwarded to the next hop.
 
--- a/src/pomelothread/platform/headers.py
+++ b/src/pomelothread/platform/headers.py
@@ -1,11 +1,15 @@
 """Translates the platform's HTTP headers to and from the gateway's types."""
 
-import math
-
-import msgspec
-
 from ..gateway.dialect import MAX_TOKENS, CallerFacts, ResponseFacts
-from ..http1.messages import Headers, Request, ResponseHead, end_to_end, header
+from ..http1.messages import (
+    Headers,
+    Request,
+    ResponseHead,
+    end_to_end,
+    header,
+    header_values,
+    parse_number,
+)
 from ..outcomes import NotKnown, NotRun, Reason, problem_response
 
 _REQUEST_ID = b"x-attempt-id"
@@ -24,6 +28,8 @@
 _RETRY_AFTER = "Retry-After"
 # "1" means that the server is about to shut down; other values mean nothing.
 _SERVER_LEAVING = b"server-leaving"
+# Requests a second that a server takes from all machines together.
+_SERVER_LIMIT = b"server-limit"
 # On a 503 of a server: how long this machine must send it nothing.
 _UPSTREAM_RETRY_AFTER = b"retry-after"
 
@@ -53,9 +59,9 @@
         """Decode the headers of a caller's request."""
         headers = request.headers
         tokens = _parse_pair(header(headers, _TOKENS))
-        deadline_ms = _parse_number(header(headers, _DEADLINE))
+        deadline_ms = parse_number(header(headers, _DEADLINE))
         key = header(headers, _KEY)
-        last_event_id = _parse_number(header(headers, _LAST_EVENT_ID))
+        last_event_id = parse_number(header(headers, _LAST_EVENT_ID))
         return CallerFacts(
             # An empty ID counts as a missing one.
             request_id=header(headers, _REQUEST_ID) or None,
@@ -108,9 +114,10 @@
             or head.status == 421,
             is_other_upstream=head.status == 421,
             is_leaving=header(head.headers, _SERVER_LEAVING) == b"1",
-            requested_rest_s=_parse_number(header(head.headers, _UPSTREAM_RETRY_AFTER))
+            requested_rest_s=parse_number(header(head.headers, _UPSTREAM_RETRY_AFTER))
             if head.status == 503
             else None,
+            rate_limits=header_values(head.headers, _SERVER_LIMIT),
         )
 
     def encode_refusal(
@@ -132,23 +139,11 @@
         return status, tuple(headers), problem.body
 
 
-def _parse_number(value: bytes | None) -> float | None:
-    """Parse a finite number that is not negative; None for anything else."""
-    if value is None:
-        return None
-    try:
-        number = msgspec.json.decode(value, type=float)
-    except msgspec.MsgspecError:
-        # A malformed header is treated as a missing one.
-        return None
-    return number if 0 <= number < math.inf else None
-
-
 def _parse_pair(value: bytes | None) -> tuple[int, int] | None:
     if value is None:
         return None
     first, _, second = value.partition(b",")
-    n_first, n_second = _parse_number(first.strip()), _parse_number(second.strip())
+    n_first, n_second = parse_number(first.strip()), parse_number(second.strip())
     if n_first is None or n_second is None:
         return None
     return min(int(n_first), MAX_TOKENS), min(int(n_second), MAX_TOKENS)
--- a/tests/test_platform_boundary.py
+++ b/tests/test_platform_boundary.py
@@ -17,6 +17,7 @@
     "x-not-executed",
     "x-tenant",
     "server-leaving",
+    "server-limit",
     "api-key",
     "api_keys",
     "target_latency_ms",
