Keep the limit that an upstream names over all gateways

What callers saw: an upstream in need got several times the requests that it takes (46 in 4 s for 1.9 a second, where the users allow 16), so callers whose requests landed there waited longest just when it needed relief.

Cause: no decision used the limit. Gateways chose by load and speed alone, and each decided for itself. Keeping the limit at each gateway would not be enough: n gateways send n times as much, and a share of limit / n is less than one request in four seconds at 13 gateways and leaves most of the limit unused where traffic is uneven.

Change: requests to a limited upstream need a permit each. All gateways choose the same coordinator for an upstream from what they hear of each other (policy/coordinators.py); it issues permits at the rate of the limit to the most urgent requests (policy/permits.py), and says how long the next one takes. A gateway coordinates only after 3 s without interruption (start, freeze, cut, new division), and one that hears no majority issues a share of 1 / n to itself. A request for which no permit comes in time is refused at once as not run, with that time as Retry-After. Permits expire after half a second, are checked again after the connection was opened, and go back if they are not used.

Event 847 showed the limit known with an age of 0.0 s before the fix, so it was not heard late.

Why it works: the permits of one upstream come from one place, and the time in which two gateways may both issue them is shorter than what the users' bound leaves over (policy/permits.py).

--- a/src/pomelothread/events.py
+++ b/src/pomelothread/events.py
@@ -385,6 +385,18 @@
         "upstream %(upstream)s no longer limits its requests to %(before_per_s)s a "
         "second; stated %(age_s)s s ago, learned from %(source)s",
     )
+    PERMITS_COORDINATED = (
+        849,
+        logging.INFO,
+        "this gateway issues the permits of upstream %(upstream)s now: %(share)s of "
+        "%(rate_per_s)s a second, %(n_gateways)s gateways are heard",
+    )
+    PERMITS_NOT_COORDINATED = (
+        860,
+        logging.INFO,
+        "this gateway no longer issues permits of upstream %(upstream)s; coordinator "
+        "%(coordinator)s",
+    )
     GATEWAY_PEER_UP = (850, logging.INFO, "gateway %(peer)s at %(address)s is up")
     GATEWAY_PEER_SILENT = (
         851,
--- a/src/pomelothread/gateway/attempt.py
+++ b/src/pomelothread/gateway/attempt.py
@@ -156,8 +156,9 @@
         if isinstance(connection, ExchangeFault):
             return Unsent()
         self._sent_s = self._clock.monotonic_s()
-        if self._lease.upstream.refuses_requests(self._sent_s):
-            # It announced that it leaves, or asked for a rest, during the connect.
+        if not self._lease.may_send(self._sent_s):
+            # During the connect it announced that it leaves, asked for a rest or named
+            # a limit, or the permit has expired.
             self._pool.release(listing.address, connection)
             return Withheld()
         request = self._dialect.make_upstream_request(
@@ -248,6 +249,7 @@
             listing.start, statement, self._sent_s, self._clock.monotonic_s()
         )
         if change is not None:
+            self._queue.load_changed.set()
             log_limit_change(change, f"request {self._job.request_id}")
 
     async def _buffer_failure(
--- a/src/pomelothread/gateway/metrics.py
+++ b/src/pomelothread/gateway/metrics.py
@@ -55,6 +55,12 @@
             "Requests sent to upstreams while they limited them.",
             "upstream",
         )
+        self._permits = self._metrics.counter(
+            "gateway_permits_total",
+            "Permits for requests to limited upstreams by event.",
+            "upstream",
+            "event",
+        )
         self.lines_dropped = self._metrics.gauge(
             "gateway_log_lines_dropped", "Log lines that nobody read in time."
         )
@@ -77,6 +83,10 @@
         """Count a request that was sent to an upstream that names a limit."""
         self._limited_sends.labels(upstream_id).add()
 
+    def record_permit(self, upstream_id: str, event: str) -> None:
+        """Count a permit that was issued, used, returned or is void."""
+        self._permits.labels(upstream_id, event).add()
+
     def record_attempt(self, service: str, end: str, first_s: float | None) -> None:
         """Count an attempt that has ended."""
         self._attempts.labels(service, end).add()
--- a/src/pomelothread/gateway/peer_link.py
+++ b/src/pomelothread/gateway/peer_link.py
@@ -14,11 +14,13 @@
 
 from ..addresses import Address, parse_address
 from ..events import Event, log_event
-from .peer_messages import GossipMessage, PeerMessage
+from .peer_messages import GossipMessage, PeerMessage, PermitReply, PermitRequest
 from .peers import Peer, PeerTable
 
 _log = logging.getLogger(__name__)
 
+_Message = PeerMessage | GossipMessage | PermitRequest | PermitReply
+
 
 class PeerLink(asyncio.DatagramProtocol):
     """UDP endpoint for the messages between gateways.
@@ -45,7 +47,11 @@
         self._on_gossip = on_gossip
         self._transport: asyncio.DatagramTransport | None = None
         self._encoder = msgspec.msgpack.Encoder()
-        self._decoder = msgspec.msgpack.Decoder(PeerMessage | GossipMessage)
+        self._decoder = msgspec.msgpack.Decoder(_Message)
+        # Handles messages about permits; set by the process.
+        self.on_permits: Callable[[Address, PermitRequest | PermitReply], None] = (
+            _ignore_permits
+        )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
@@ -69,7 +75,7 @@
                 detail=repr(error),
             )
 
-    def _handle(self, address: Address, message: PeerMessage | GossipMessage) -> None:
+    def _handle(self, address: Address, message: _Message) -> None:
         match message:
             case PeerMessage():
                 for host in message.peers:
@@ -82,6 +88,8 @@
                 for host, age_s in message.alive:
                     self._introduce(host, address.port, age_s)
                 self._on_gossip(address, message)
+            case PermitRequest() | PermitReply():
+                self.on_permits(address, message)
 
     def _introduce(self, host: str, port: int, age_s: float) -> None:
         address = parse_address(f"{host}:{port}")
@@ -102,9 +110,13 @@
         """Send a gossip message to one peer, without waiting."""
         self._send(gossip, [address])
 
-    def _send(
-        self, message: PeerMessage | GossipMessage, addresses: list[Address]
+    def send_permits(
+        self, message: PermitRequest | PermitReply, address: Address
     ) -> None:
+        """Send a message about permits to one peer, without waiting."""
+        self._send(message, [address])
+
+    def _send(self, message: _Message, addresses: list[Address]) -> None:
         if self._transport is None or self._transport.is_closing():
             return
         data = self._encoder.encode(message)
@@ -115,3 +127,7 @@
         """Stop listening."""
         if self._transport is not None:
             self._transport.close()
+
+
+def _ignore_permits(sender: Address, message: PermitRequest | PermitReply) -> None:
+    """Drop messages that arrive before the process handles permits."""
--- a/src/pomelothread/gateway/peer_messages.py
+++ b/src/pomelothread/gateway/peer_messages.py
@@ -11,6 +11,8 @@
 MAX_NAMED_PEERS = 40
 # Maximum number of leaving upstreams that one message names.
 MAX_LEAVING = 16
+# Maximum number of limits of upstreams that one message names.
+MAX_LIMITS = 4
 
 
 class LoadReport(msgspec.Struct, array_like=True):
@@ -71,6 +73,13 @@
     cell_sizes : list of int
         Number of gateways in each cell, as computed by the sender; only in a
         heartbeat.
+    limits : list of (str, int, float or None, float)
+        Upstreams that have named a limit, each with the Unix time in milliseconds at
+        which it started, the requests a second that it takes (None if the limit has
+        ended), and the seconds since it said so.
+    steady_s : float or None
+        Seconds for which the sender has been fit to coordinate permits; 0.0 while it
+        is not, None in messages that are no heartbeats.
     """
 
     incarnation: str
@@ -86,6 +95,77 @@
     leaving: list[tuple[str, int]] = []
     feeds: list[FeedReport | None] = []
     cell_sizes: list[int] = []
+    limits: list[tuple[str, int, float | None, float]] = []
+    steady_s: float | None = None
+
+
+class PermitRequest(msgspec.Struct, array_like=True, tag="permit-request"):
+    """How many permits of an upstream a gateway waits for.
+
+    Parameters
+    ----------
+    incarnation : str
+        Identifies a run of the gateway that waits.
+    gateway : str
+        Its address, if another gateway passes the message on; otherwise empty.
+    upstream_id : str
+        The upstream.
+    started_ms : int
+        Unix time in milliseconds at which the upstream started.
+    n_wanted : int
+        Number of permits, in place of the number in earlier messages.
+    urgency : int
+        Rank of the most urgent request that waits; lower numbers are more urgent.
+    n_returned : int
+        Number of permits that the gateway has got and does not use.
+    rate_per_s : float or None
+        Newest limit that the sender knows.
+    limit_age_s : float
+        Seconds since the upstream named it.
+    """
+
+    incarnation: str
+    gateway: str
+    upstream_id: str
+    started_ms: int
+    n_wanted: int
+    urgency: int
+    n_returned: int
+    rate_per_s: float | None
+    limit_age_s: float
+
+
+class PermitReply(msgspec.Struct, array_like=True, tag="permit-reply"):
+    """Permits that the coordinator of an upstream issues, or a forecast.
+
+    Parameters
+    ----------
+    incarnation : str
+        Identifies a run of the coordinator.
+    sequence : int
+        Increases with each reply of the coordinator.
+    upstream_id : str
+        The upstream.
+    started_ms : int
+        Unix time in milliseconds at which the upstream started.
+    n_issued : int
+        Number of permits that the receiver gets with this message.
+    wait_s : float or None
+        Predicted seconds until it gets the next one; None for no prediction.
+    rate_per_s : float or None
+        Newest limit that the coordinator knows; None if it has ended.
+    limit_age_s : float
+        Seconds since the upstream named it.
+    """
+
+    incarnation: str
+    sequence: int
+    upstream_id: str
+    started_ms: int
+    n_issued: int
+    wait_s: float | None
+    rate_per_s: float | None
+    limit_age_s: float
 
 
 class GossipMessage(msgspec.Struct, array_like=True, tag="rumour"):
--- a/src/pomelothread/gateway/peers.py
+++ b/src/pomelothread/gateway/peers.py
@@ -1,12 +1,14 @@
 """Membership and last reported state of the other gateways, and their cells."""
 
 import logging
+import math
 from dataclasses import dataclass, field
 
 from ..addresses import Address
 from ..clock import Clock
 from ..events import Event, log_event
 from ..policy.cells import name_hash
+from ..policy.coordinators import SETTLING_S
 from ..policy.division import Division
 from ..policy.feed_sharing import rank_among
 from .peer_messages import LoadReport, PeerMessage
@@ -52,6 +54,9 @@
         Whether it has sent nothing for so long that its load is not counted.
     changed_upstreams : set of str
         Upstreams at which its newest message may have changed its load.
+    steady_since_s : float
+        Monotonic time since which it has been fit to coordinate permits, as it
+        reports; infinite if it has not reported that.
     """
 
     address: Address
@@ -63,6 +68,7 @@
     waiting: dict[str, int] = field(default_factory=dict)
     is_silent: bool = True
     changed_upstreams: set[str] = field(default_factory=set)
+    steady_since_s: float = math.inf
 
 
 class PeerTable:
@@ -111,6 +117,35 @@
         """Return the peers of the own cell."""
         return [peer for peer in self._peers.values() if self.is_in_own_cell(peer)]
 
+    def count_own_cell(self, counts_unheard: bool) -> tuple[int, int]:
+        """Return how many gateways of the own cell are heard, and how many are known.
+
+        Both numbers include this one.
+
+        Parameters
+        ----------
+        counts_unheard : bool
+            Whether addresses count from which no message has ever come.
+        """
+        peers = self.own_cell_peers()
+        n_heard = sum(not peer.is_silent for peer in peers)
+        n_known = sum(counts_unheard or peer.incarnation != "" for peer in peers)
+        return n_heard + 1, n_known + 1
+
+    def settled(self) -> list[Address]:
+        """Return the peers of the own cell that may coordinate permits."""
+        until_s = self._clock.monotonic_s() - SETTLING_S
+        return [
+            peer.address
+            for peer in self.own_cell_peers()
+            if not peer.is_silent and peer.steady_since_s <= until_s
+        ]
+
+    def alive_in(self, cell: int) -> list[Address]:
+        """Return the gateways of a cell from which any gateway has got a message."""
+        alive = (peer.address for peer in self.alive())
+        return [address for address in alive if self._cell_of(address) == cell]
+
     def alive(self) -> list[Peer]:
         """Return the peers from which any gateway has recently received a message."""
         since_s = self._clock.monotonic_s() - ALIVE_S
@@ -192,6 +227,7 @@
             before = self._forget_loads(peer)
             peer.sequence = -1
             peer.incarnation = message.incarnation
+            peer.steady_since_s = math.inf
         if message.sequence <= peer.sequence:
             return None
         peer.sequence = message.sequence
@@ -201,6 +237,8 @@
             log_event(
                 _log, Event.GATEWAY_PEER_UP, peer=peer.incarnation, address=address
             )
+        if message.steady_s is not None:
+            peer.steady_since_s = peer.last_message_s - max(0.0, message.steady_s)
         if message.is_heartbeat:
             before |= self._forget_loads(peer)
         for load in message.loads:
--- /dev/null
+++ b/src/pomelothread/gateway/permits.py
@@ -0,0 +1,403 @@
+"""Asks for permits, and issues them for the upstreams that this gateway coordinates."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from msgspec.structs import replace
+
+from ..addresses import Address, parse_address
+from ..clock import Clock
+from ..events import Event, log_event
+from ..policy.cells import name_hash
+from ..policy.coordinators import (
+    RelayChoice,
+    Steadiness,
+    choose_coordinator,
+    home_cell,
+)
+from ..policy.departures import UpstreamStart
+from ..policy.permits import MAX_WANTED, PermitIssuer, PermitStock, issue_rate_per_s
+from ..policy.rate_limits import LimitReport
+from ..policy.upstream_choice import has_capacity
+from .limit_log import log_limit_change
+from .metrics import GatewayMetrics
+from .peer_messages import PermitReply, PermitRequest
+from .peers import FORGET_AFTER_S, PeerTable
+from .queue import Shortage, UpstreamQueue
+from .upstreams import Upstream, UpstreamTable
+
+_log = logging.getLogger(__name__)
+
+# Maximum number of upstreams of a service that are asked for at a time.
+MAX_ASKED_UPSTREAMS = 4
+# Maximum interval between two checks whether this process was frozen.
+MAX_IDLE_S = 0.5
+
+
+class PermitExchange:
+    """Exchanges permits with the other gateways.
+
+    Parameters
+    ----------
+    incarnation : str
+        Identifies this run of the process.
+    upstreams : UpstreamTable
+        Limits of upstreams, and the permits for them.
+    queue : UpstreamQueue
+        Reports shortages, and assigns slots when permits arrive.
+    peers : PeerTable
+        The other gateways.
+    metrics : GatewayMetrics
+        Counts permits.
+    clock : Clock
+        Source of time; it includes the time in which the machine is suspended.
+    """
+
+    def __init__(
+        self,
+        incarnation: str,
+        upstreams: UpstreamTable,
+        queue: UpstreamQueue,
+        peers: PeerTable,
+        metrics: GatewayMetrics,
+        clock: Clock,
+    ) -> None:
+        self._incarnation = incarnation
+        self._upstreams = upstreams
+        self._queue = queue
+        self._peers = peers
+        self._metrics = metrics
+        self._clock = clock
+        self._started_s = clock.monotonic_s()
+        self._steadiness = Steadiness(self._started_s)
+        self._relays = RelayChoice()
+        self._issuers: dict[UpstreamStart, PermitIssuer] = {}
+        self._sequence = 0
+        # Newest sequence number of each coordinator, by its incarnation.
+        self._received: dict[str, int] = {}
+        self._asks_changed = asyncio.Event()
+        self.is_draining = False
+        # Sends a message to a peer, without waiting; set by the reporter.
+        self.send: Callable[[PermitRequest | PermitReply, Address], None] = _not_sent
+        queue.on_shortage = self.request
+
+    def steady_s(self) -> float:
+        """Return the seconds for which this gateway has been fit to coordinate."""
+        now_s = self._clock.monotonic_s()
+        self._update(now_s)
+        return 0.0 if self.is_draining else self._steadiness.steady_s(now_s)
+
+    def interrupt(self) -> None:
+        """Stop coordinating until the other gateways know this one again."""
+        self._steadiness.interrupt(self._clock.monotonic_s())
+
+    async def run(self) -> None:
+        """Issue permits when they are due, until cancelled."""
+        while True:
+            self._asks_changed.clear()
+            due_s = self.issue_due()
+            left_s = MAX_IDLE_S
+            if due_s is not None:
+                left_s = min(left_s, due_s - self._clock.monotonic_s())
+            try:
+                async with asyncio.timeout(max(0.0, left_s)):
+                    await self._asks_changed.wait()
+            except TimeoutError:
+                # A permit may be due, and a freeze of this process is looked for.
+                continue
+
+    def request(self, shortage: Shortage) -> None:
+        """Ask for permits for waiting requests, or withdraw the question.
+
+        Parameters
+        ----------
+        shortage : Shortage
+            Requests of a service that wait.
+        """
+        now_s = self._clock.monotonic_s()
+        limited = [u for u in shortage.upstreams if u.permits is not None]
+        chosen = self._choose_to_ask(limited, now_s) if shortage.jobs else []
+        for upstream in limited:
+            stock = upstream.permits
+            assert stock is not None
+            n_wanted = 0
+            if upstream in chosen:
+                upstream_id = upstream.listing.upstream_id
+                n_waiting = shortage.n_waiting_for(upstream_id, MAX_WANTED)
+                n_wanted = max(0, n_waiting - stock.n_usable(now_s))
+            if stock.must_ask(n_wanted, now_s):
+                start = upstream.listing.start
+                self._ask(start, stock, n_wanted, shortage.urgency, now_s)
+
+    def _choose_to_ask(self, limited: list[Upstream], now_s: float) -> list[Upstream]:
+        """Return the upstreams whose permits are expected first."""
+        fit = [
+            upstream
+            for upstream in limited
+            if not upstream.is_leaving
+            and upstream.health.may_take(now_s)
+            and has_capacity([upstream])
+        ]
+
+        def order(upstream: Upstream) -> tuple[float, int]:
+            assert upstream.permits is not None
+            # The hash spreads the gateways over upstreams without a forecast.
+            name = f"{self._peers.own_address} {upstream.listing.upstream_id}"
+            return upstream.permits.available_from_s(now_s), name_hash(name)
+
+        return sorted(fit, key=order)[:MAX_ASKED_UPSTREAMS]
+
+    def _ask(
+        self,
+        start: UpstreamStart,
+        stock: PermitStock,
+        n_wanted: int,
+        urgency: int,
+        now_s: float,
+    ) -> None:
+        self._update(now_s)
+        coordinator = self._coordinator(start.upstream_id, now_s)
+        if coordinator is None:
+            return
+        stock.record_ask(n_wanted, now_s)
+        if coordinator == self._peers.own_address:
+            wait_s = self._record_ask(start, coordinator, n_wanted, urgency, now_s)
+            if wait_s is not None:
+                stock.record_forecast(wait_s, now_s)
+            return
+        if n_wanted:
+            self._relays.record_ask(start.upstream_id, str(coordinator), now_s)
+        self._send_request(start, coordinator, n_wanted, urgency, now_s)
+
+    def _send_request(
+        self,
+        start: UpstreamStart,
+        coordinator: Address,
+        n_wanted: int,
+        urgency: int,
+        now_s: float,
+        n_returned: int = 0,
+    ) -> None:
+        limit = self._upstreams.rate_limits.report(start, now_s)
+        if limit is None:
+            return
+        message = PermitRequest(
+            self._incarnation,
+            "",
+            start.upstream_id,
+            start.started_ms,
+            n_wanted,
+            urgency,
+            n_returned,
+            limit.rate_per_s,
+            limit.age_s,
+        )
+        self.send(message, coordinator)
+
+    def on_message(self, sender: Address, message: PermitRequest | PermitReply) -> None:
+        """Process a message about permits."""
+        now_s = self._clock.monotonic_s()
+        self._update(now_s)
+        start = UpstreamStart(message.upstream_id, message.started_ms)
+        report = LimitReport(start, message.rate_per_s, message.limit_age_s)
+        change = self._upstreams.merge_rate_limit(report, now_s, passes_on=True)
+        if change is not None:
+            log_limit_change(change, f"gateway {message.incarnation}")
+        match message:
+            case PermitRequest():
+                self._on_request(start, sender, message, now_s)
+            case PermitReply():
+                self._on_reply(start, sender, message, now_s)
+
+    def _on_request(
+        self,
+        start: UpstreamStart,
+        sender: Address,
+        message: PermitRequest,
+        now_s: float,
+    ) -> None:
+        coordinator = self._coordinator(start.upstream_id, now_s)
+        if coordinator != self._peers.own_address:
+            if coordinator is not None and not message.gateway:
+                self.send(replace(message, gateway=str(sender)), coordinator)
+            return
+        gateway = parse_address(message.gateway) if message.gateway else sender
+        if gateway is None:
+            log_event(
+                _log,
+                Event.PEER_MESSAGE_MALFORMED,
+                address=sender,
+                detail=f"{message.gateway[:40]!r} is not an address",
+            )
+            return
+        if message.n_returned > 0 and start in self._issuers:
+            self._issuers[start].give_back(min(message.n_returned, MAX_WANTED))
+        n_wanted = message.n_wanted
+        wait_s = self._record_ask(start, gateway, n_wanted, message.urgency, now_s)
+        if n_wanted > 0:
+            self._reply(start, gateway, 0, wait_s, now_s)
+
+    def _record_ask(
+        self,
+        start: UpstreamStart,
+        gateway: Address,
+        n_wanted: int,
+        urgency: int,
+        now_s: float,
+    ) -> float | None:
+        """Record a question at this coordinator; return how long it will take."""
+        rate_per_s = self._issue_rate_per_s(start)
+        if rate_per_s is None:
+            return None
+        issuer = self._issuers.get(start)
+        if issuer is None:
+            issuer = self._issuers[start] = PermitIssuer(now_s)
+            log_event(
+                _log,
+                Event.PERMITS_COORDINATED,
+                upstream=start.upstream_id,
+                rate_per_s=self._upstreams.rate_limit_per_s(start),
+                share=round(self._steadiness.share, 3),
+                n_gateways=len(self._peers) + 1,
+            )
+        issuer.ask(str(gateway), n_wanted, urgency, now_s)
+        self._asks_changed.set()
+        return issuer.wait_s(str(gateway), urgency, rate_per_s)
+
+    def issue_due(self) -> float | None:
+        """Issue the permits that are due.
+
+        Returns
+        -------
+        float or None
+            Monotonic time of the next one; None if no gateway waits.
+        """
+        now_s = self._clock.monotonic_s()
+        self._update(now_s)
+        next_s = []
+        for start, issuer in list(self._issuers.items()):
+            rate_per_s = self._issue_rate_per_s(start)
+            coordinator = self._coordinator(start.upstream_id, now_s)
+            if rate_per_s is None or coordinator != self._peers.own_address:
+                del self._issuers[start]
+                log_event(
+                    _log,
+                    Event.PERMITS_NOT_COORDINATED,
+                    upstream=start.upstream_id,
+                    coordinator=coordinator,
+                )
+                continue
+            for name in issuer.issue(rate_per_s, now_s):
+                self._issue(start, issuer, name, now_s)
+            due_s = issuer.next_due_s(rate_per_s)
+            if due_s is not None:
+                next_s.append(due_s)
+        return min(next_s, default=None)
+
+    def _issue(
+        self, start: UpstreamStart, issuer: PermitIssuer, name: str, now_s: float
+    ) -> None:
+        self._metrics.record_permit(start.upstream_id, "issued")
+        gateway = parse_address(name)
+        assert gateway is not None
+        if gateway == self._peers.own_address:
+            issuer.give_back(self._receive(start, 1, now_s))
+            return
+        self._reply(start, gateway, 1, None, now_s)
+
+    def _reply(
+        self,
+        start: UpstreamStart,
+        gateway: Address,
+        n_issued: int,
+        wait_s: float | None,
+        now_s: float,
+    ) -> None:
+        limit = self._upstreams.rate_limits.report(start, now_s)
+        if limit is None:
+            return
+        self._sequence += 1
+        message = PermitReply(
+            self._incarnation,
+            self._sequence,
+            start.upstream_id,
+            start.started_ms,
+            n_issued,
+            wait_s,
+            limit.rate_per_s,
+            limit.age_s,
+        )
+        self.send(message, gateway)
+
+    def _on_reply(
+        self, start: UpstreamStart, sender: Address, message: PermitReply, now_s: float
+    ) -> None:
+        self._relays.record_reply(start.upstream_id)
+        if message.sequence <= self._received.get(message.incarnation, 0):
+            # A datagram that arrives twice must not bring its permits twice.
+            return
+        self._received[message.incarnation] = message.sequence
+        upstream = self._upstreams.get(start.upstream_id)
+        if (
+            message.wait_s is not None
+            and upstream is not None
+            and upstream.permits is not None
+        ):
+            upstream.permits.record_forecast(max(0.0, message.wait_s), now_s)
+        if message.n_issued > 0:
+            n_unused = self._receive(start, min(message.n_issued, MAX_WANTED), now_s)
+            if n_unused:
+                self._send_request(start, sender, 0, 0, now_s, n_unused)
+
+    def _receive(self, start: UpstreamStart, n_issued: int, now_s: float) -> int:
+        """Use permits that were issued to this gateway; return how many it does not."""
+        upstream = self._upstreams.get(start.upstream_id)
+        if (
+            upstream is None
+            or upstream.permits is None
+            or upstream.listing.start != start
+            or not upstream.permits.add(n_issued, now_s)
+        ):
+            self._metrics.record_permit(start.upstream_id, "void")
+            return 0
+        service = upstream.listing.service
+        self._queue.assign_slots(service)
+        if upstream.permits is None or self._queue.has_waiting(service):
+            return 0
+        n_unused = upstream.permits.take_all(now_s)
+        if n_unused:
+            self._metrics.record_permit(start.upstream_id, "returned")
+        return n_unused
+
+    def _issue_rate_per_s(self, start: UpstreamStart) -> float | None:
+        """Return the rate at which this gateway may issue permits, or None."""
+        rate_per_s = self._upstreams.rate_limit_per_s(start)
+        if rate_per_s is None:
+            return None
+        return issue_rate_per_s(rate_per_s, self._steadiness.share)
+
+    def _coordinator(self, upstream_id: str, now_s: float) -> Address | None:
+        """Return the gateway to ask for permits, or the own address."""
+        own = self._peers.own_address
+        home = home_cell(upstream_id, self._peers.n_cells)
+        if home != self._peers.cell:
+            names = map(str, self._peers.alive_in(home))
+            relay = self._relays.choose(upstream_id, names, now_s)
+            return parse_address(relay) if relay is not None else None
+        gateways = [] if self._steadiness.is_isolated else self._peers.settled()
+        is_needed = not gateways or not self.is_draining
+        if is_needed and self._steadiness.is_settled(now_s):
+            gateways.append(own)
+        chosen = choose_coordinator(upstream_id, map(str, gateways))
+        return parse_address(chosen) if chosen is not None else None
+
+    def _update(self, now_s: float) -> None:
+        # Seeds that never sent a message do not exist any more.
+        counts_unheard = now_s - self._started_s < FORGET_AFTER_S
+        n_heard, n_known = self._peers.count_own_cell(counts_unheard)
+        self._steadiness.update(n_heard, n_known, now_s)
+
+
+def _not_sent(message: PermitRequest | PermitReply, address: Address) -> None:
+    """Drop messages before the process listens to its peers."""
--- a/src/pomelothread/gateway/process.py
+++ b/src/pomelothread/gateway/process.py
@@ -37,6 +37,7 @@
 from .listings import ListingSync
 from .metrics import GatewayMetrics
 from .peers import PeerTable
+from .permits import PermitExchange
 from .platform_link import PlatformAdapter
 from .queue import UpstreamQueue
 from .quota_notes import QuotaNotes
@@ -130,6 +131,14 @@
             clock,
             random_source,
         )
+        self._permits = PermitExchange(
+            self._incarnation,
+            self._upstreams,
+            self._queue,
+            self._peers,
+            self.metrics,
+            clock,
+        )
         self._reporter = Reporter(
             self._incarnation,
             self._upstreams,
@@ -141,6 +150,7 @@
             clock,
             random_source,
         )
+        self._reporter.share_permits(self._permits)
         self._configuration_watch = FeedWatch(
             _reading_times(CONFIGURATION_DUE_SHARES, settings.configuration_bound_s)
         )
@@ -243,7 +253,12 @@
             self._state.configuration_received,
             self._state.startup_complete,
         )
-        for run in (run_quota_notes, self._reporter.run, self._housekeeping):
+        for run in (
+            run_quota_notes,
+            self._reporter.run,
+            self._permits.run,
+            self._housekeeping,
+        ):
             self._start(keep_running(run, self._clock))
         try:
             await self._stopping.wait()
@@ -267,7 +282,7 @@
         metrics.waiting.labels().set_function(lambda: self._queue.n_waiting)
         metrics.open.labels().set_function(lambda: self._state.n_open)
         metrics.limited_upstreams.labels().set_function(
-            lambda: self._upstreams.n_limited
+            lambda: len(self._upstreams.limited())
         )
         metrics.peers.labels().set_function(lambda: len(self._peers))
         metrics.configuration.labels().set_function(
@@ -415,6 +430,8 @@
         """Report not ready, accept requests for a while, finish them, then close."""
         started_s = self._clock.monotonic_s()
         self._state.is_draining = True
+        self._permits.is_draining = True
+        self._reporter.report_soon()
         log_event(
             _log,
             Event.GATEWAY_DRAINING,
--- a/src/pomelothread/gateway/queue.py
+++ b/src/pomelothread/gateway/queue.py
@@ -1,7 +1,9 @@
 """Queues requests and assigns them to free slots of upstreams."""
 
 import asyncio
+import itertools
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from ..clock import Clock
@@ -45,11 +47,22 @@
         Prompt tokens that count as pending until the first event.
     n_pending_tokens : int
         Prompt tokens that were pending at the upstream before this request.
+    permit_until_s : float or None
+        Monotonic time until which its permit holds; None without a permit.
     """
 
     upstream: Upstream
     n_prompt_tokens: int
     n_pending_tokens: int
+    permit_until_s: float | None = None
+
+    def may_send(self, now_s: float) -> bool:
+        """Return whether the upstream may still be sent the request."""
+        if self.upstream.refuses_requests(now_s):
+            return False
+        if self.upstream.permits is None:
+            return True
+        return self.permit_until_s is not None and now_s <= self.permit_until_s
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,13 +74,39 @@
     had_upstream : bool
         Whether any upstream would have taken it, given a free slot.
     available_in_s : float
-        Seconds until an upstream may take a request again, if all of them rest.
+        Seconds until an upstream may take a request again, if none of them does now.
     """
 
     had_upstream: bool
     available_in_s: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class Shortage:
+    """Requests of a service that no upstream takes now.
+
+    Parameters
+    ----------
+    upstreams : list of Upstream
+        Upstreams of the service.
+    jobs : list of Job
+        Requests that wait; may be empty.
+    """
+
+    upstreams: list[Upstream]
+    jobs: list[Job]
+
+    @property
+    def urgency(self) -> int:
+        """Rank of the most urgent request; lower numbers are more urgent."""
+        return min((job.waiting.urgency for job in self.jobs), default=0)
+
+    def n_waiting_for(self, upstream_id: str, n_most: int) -> int:
+        """Return how many requests may be sent to an upstream, up to `n_most`."""
+        untried = (job for job in self.jobs if upstream_id not in job.tried)
+        return sum(1 for _ in itertools.islice(untried, n_most))
+
+
 @dataclass(slots=True)
 class _Waiter:
     job: Job
@@ -98,12 +137,19 @@
         self._recheck_timer: asyncio.TimerHandle | None = None
         self._serve_timer: asyncio.TimerHandle | None = None
         self.load_changed: asyncio.Event = asyncio.Event()
+        # Called after each assignment for a service some of whose upstreams name a
+        # limit.
+        self.on_shortage: Callable[[Shortage], None] = _ignore_shortage
 
     @property
     def n_waiting(self) -> int:
         """Number of waiting requests."""
         return sum(len(waiters) for waiters in self._waiters.values())
 
+    def has_waiting(self, service: str) -> bool:
+        """Return whether requests for a service wait."""
+        return any(not w.granted.done() for w in self._waiters.get(service, ()))
+
     def lowest_waiting_urgencies(self) -> dict[str, int]:
         """Return each service's lowest urgency among requests that are not late."""
         now_s = self._clock.monotonic_s()
@@ -153,8 +199,7 @@
             if waiter.granted.done() and not waiter.granted.cancelled():
                 # Granted in the same iteration of the event loop as the timeout.
                 return waiter.granted.result()
-            candidates = self._candidates(job)
-            return NoSlot(had_upstream=bool(candidates))
+            return self._no_slot(job)
         finally:
             waiters = self._waiters.get(job.service, [])
             if waiter in waiters:
@@ -193,12 +238,18 @@
     def assign_slots(self, service: str) -> None:
         """Assign free slots to waiting requests of one service."""
         waiters = self._waiters.get(service)
-        if not waiters:
-            return
+        if waiters:
+            self._assign(service, waiters)
+        upstreams = self._table.of_service(service)
+        if any(upstream.permits is not None for upstream in upstreams):
+            jobs = [w.job for w in waiters or () if not w.granted.done()]
+            self.on_shortage(Shortage(upstreams, jobs))
+
+    def _assign(self, service: str, waiters: list[_Waiter]) -> None:
         self._schedule_recheck()
         upstreams = self._table.of_service(service)
         now_s = self._clock.monotonic_s()
-        if earliest_available_s(upstreams, frozenset()) > now_s:
+        if earliest_available_s(upstreams, frozenset(), now_s) > now_s:
             self._refuse_unservable(service, now_s)
             return
         # Examining every waiting request is expensive, and most events do not free a
@@ -227,10 +278,11 @@
                     return
 
     def _refuse_unservable(self, service: str, now_s: float) -> None:
-        """Refuse requests whose wait would end before any upstream stops resting."""
+        """Refuse requests whose wait would end before any upstream takes them."""
         upstreams = self._table.of_service(service)
         for waiter in list(self._waiters[service]):
-            from_s = earliest_available_s(upstreams, frozenset(waiter.job.tried))
+            tried = frozenset(waiter.job.tried)
+            from_s = earliest_available_s(upstreams, tried, now_s)
             if from_s > gives_up_at_s(waiter.job.waiting):
                 self._waiters[service].remove(waiter)
                 if not waiter.granted.done():
@@ -268,10 +320,17 @@
         self._recheck_timer = None
         self.assign_all_slots()
 
-    def _candidates(self, job: Job) -> list[Upstream]:
+    def _no_slot(self, job: Job) -> NoSlot:
+        """Return the result for a request that has waited as long as it may."""
         now_s = self._clock.monotonic_s()
-        accepting = available_upstreams(self._table.of_service(job.service), now_s)
-        return untried(accepting, job.tried)
+        upstreams = self._table.of_service(job.service)
+        from_s = earliest_available_s(upstreams, frozenset(job.tried), now_s)
+        accepting = untried(available_upstreams(upstreams, now_s), job.tried)
+        limited = [u for u in upstreams if u.permits is not None and not u.is_leaving]
+        return NoSlot(
+            had_upstream=bool(accepting or untried(limited, job.tried)),
+            available_in_s=max(0.0, from_s - now_s),
+        )
 
     def _choose(
         self, job: Job, accepting: list[Upstream], now_s: float
@@ -289,7 +348,11 @@
 
     def _lease_slot(self, upstream: Upstream, job: Job, now_s: float) -> Lease:
         n_prompt_tokens = job.facts.n_prompt_tokens if job.route.is_streaming else 0
-        lease = Lease(upstream, n_prompt_tokens, upstream.n_all_pending_tokens)
+        permits = upstream.permits
+        permit_until_s = permits.take(now_s) if permits is not None else None
+        lease = Lease(
+            upstream, n_prompt_tokens, upstream.n_all_pending_tokens, permit_until_s
+        )
         upstream.n_running += 1
         upstream.n_pending_tokens += n_prompt_tokens
         upstream.health.observe_sent(now_s)
@@ -297,6 +360,10 @@
         return lease
 
 
+def _ignore_shortage(shortage: Shortage) -> None:
+    """Without other gateways there is nobody to ask for permits."""
+
+
 def _requirements_of(job: Job, now_s: float) -> UpstreamRequirements:
     return UpstreamRequirements(
         n_prompt_tokens=job.facts.n_prompt_tokens,
--- a/src/pomelothread/gateway/reports.py
+++ b/src/pomelothread/gateway/reports.py
@@ -4,6 +4,7 @@
 import logging
 import random
 from collections.abc import Callable, Iterable
+from dataclasses import astuple
 from typing import TypeVar
 
 from ..addresses import Address
@@ -12,16 +13,20 @@
 from ..policy.departures import UpstreamStart
 from ..policy.feed_sharing import FeedReport, FeedWatch
 from ..policy.quotas import QuotaTracker
+from ..policy.rate_limits import LimitReport
 from .crashes import CrashReporter
+from .limit_log import log_limit_change
 from .peer_link import PeerLink
 from .peer_messages import (
     MAX_LEAVING,
+    MAX_LIMITS,
     MAX_NAMED_PEERS,
     GossipMessage,
     LoadReport,
     PeerMessage,
 )
 from .peers import Peer, PeerTable
+from .permits import PermitExchange
 from .queue import UpstreamQueue
 from .state import GatewayState
 from .upstreams import Upstream, UpstreamTable
@@ -98,6 +103,7 @@
         self._last_heartbeat_s = -HEARTBEAT_S
         self._heartbeat_due_s = 0.0
         self._feeds: tuple[tuple[FeedWatch, Callable[[], None]], ...] = ()
+        self._permits: PermitExchange | None = None
         self.link = PeerLink(peers, self.on_message, self.on_gossip)
 
     def share_feeds(self, *feeds: tuple[FeedWatch, Callable[[], None]]) -> None:
@@ -110,6 +116,12 @@
         """
         self._feeds = feeds
 
+    def share_permits(self, permits: PermitExchange) -> None:
+        """Exchange permits of upstreams that name a limit with peers."""
+        self._permits = permits
+        permits.send = self.link.send_permits
+        self.link.on_permits = permits.on_message
+
     async def run(self) -> None:
         """Report until cancelled."""
         # The first message is sent at once: peers count no quota usage of this process
@@ -160,6 +172,7 @@
             other_cells_used = self._other_cells_used()
             crashes = self._crashes.newest_for_heartbeat()
             leaving = self._upstreams.listed_departures(MAX_LEAVING)
+            limits = self._some_limits(now_s)
         else:
             loads = [
                 LoadReport(k, *current.get(k, (0, 0)))
@@ -170,8 +183,10 @@
             other_cells_used = {}
             crashes = self._crashes.take_unreported()
             leaving = self._upstreams.take_unreported_departures(MAX_LEAVING)
+            limits = self._upstreams.rate_limits.take_unreported(MAX_LIMITS, now_s)
             used = {k: v for k, v in used.items() if v != self._sent_used.get(k)}
-            is_same = not (loads or used or crashes or leaving or self._has_news())
+            has_notices = bool(crashes or leaving or limits or self._has_news())
+            is_same = not (loads or used or has_notices)
             if is_same and waiting == self._sent_waiting:
                 return None
         self._sent_loads = current
@@ -192,8 +207,26 @@
             [(start.upstream_id, start.started_ms) for start in leaving],
             self._feed_reports(is_heartbeat, now_s),
             list(self._peers.division.sizes) if is_heartbeat else [],
+            [
+                (*astuple(limit.start), limit.rate_per_s, round(limit.age_s, 3))
+                for limit in limits
+            ],
+            self._permits.steady_s() if is_heartbeat and self._permits else None,
         )
 
+    def _some_limits(self, now_s: float) -> list[LimitReport]:
+        """Return the limits that a heartbeat names, so that new gateways learn them.
+
+        If there are many, each heartbeat names others.
+        """
+        tracker = self._upstreams.rate_limits
+        limits = tracker.take_unreported(MAX_LIMITS, now_s)
+        if len(limits) == MAX_LIMITS:
+            return limits
+        starts = [upstream.listing.start for upstream in self._upstreams.limited()]
+        n_more = min(len(starts), MAX_LIMITS - len(limits))
+        return limits + tracker.reports(self._random.sample(starts, n_more), now_s)
+
     def _has_news(self) -> bool:
         return any(watch.has_unsent_report for watch, _ in self._feeds)
 
@@ -236,8 +269,9 @@
         self._receive_division(message.cell_sizes)
         if message.is_heartbeat and message.uptime_s < HEARTBEAT_S:
             # A process that has just started does not know the load of others yet.
-            self._heartbeat_soon()
+            self.report_soon()
         self._receive_departures(peer, message)
+        self._receive_limits(peer, message, now_s)
         self._receive_feed_reports(message, now_s)
         changed = (self._upstreams.get(name) for name in peer.changed_upstreams)
         self._update_peer_loads(
@@ -251,9 +285,10 @@
         if self._peers.receive_division(sizes):
             self._apply_division(before)
             # Introduces this process to the peers of its new cell.
-            self._heartbeat_soon()
+            self.report_soon()
 
-    def _heartbeat_soon(self) -> None:
+    def report_soon(self) -> None:
+        """Send the next heartbeat as soon as possible."""
         now_s = self._clock.monotonic_s()
         soon_s = max(now_s, self._last_heartbeat_s + MIN_HEARTBEAT_GAP_S)
         self._heartbeat_due_s = min(self._heartbeat_due_s, soon_s)
@@ -269,6 +304,14 @@
                 peer=peer.incarnation,
             )
 
+    def _receive_limits(self, peer: Peer, message: PeerMessage, now_s: float) -> None:
+        for upstream_id, started_ms, rate_per_s, age_s in message.limits:
+            start = UpstreamStart(upstream_id, started_ms)
+            report = LimitReport(start, rate_per_s, age_s)
+            change = self._upstreams.merge_rate_limit(report, now_s)
+            if change is not None:
+                log_limit_change(change, f"gateway {peer.incarnation}")
+
     def on_gossip(self, sender: Address, gossip: GossipMessage) -> None:
         """Process gossip of a peer."""
         if gossip.cell_used:
@@ -290,6 +333,8 @@
         self._upstreams.set_cell(self._peers.cell, self._peers.division.sizes)
         if n_cells == n_cells_before:
             return
+        if self._permits is not None:
+            self._permits.interrupt()
         self._quotas.set_cells(n_cells)
         for peer in self._peers.all():
             if not self._peers.is_in_own_cell(peer):
--- a/src/pomelothread/gateway/upstreams.py
+++ b/src/pomelothread/gateway/upstreams.py
@@ -6,7 +6,13 @@
 from ..addresses import Address
 from ..policy.cells import upstreams_of_cell
 from ..policy.departures import DepartureTracker, UpstreamStart
-from ..policy.rate_limits import LimitChange, RateLimitTracker, RateStatement
+from ..policy.permits import PermitStock
+from ..policy.rate_limits import (
+    LimitChange,
+    LimitReport,
+    RateLimitTracker,
+    RateStatement,
+)
 from ..policy.upstream_health import HealthRecord
 from ..policy.upstream_speed import FirstEventModel, SpeedEstimate
 
@@ -79,6 +85,8 @@
         Number of cells of gateways that share it; cells do not exchange loads.
     has_announced_leaving : bool
         Whether one of its responses announced that it is leaving.
+    permits : PermitStock or None
+        Permits for its requests, one for each; None while it names no limit.
     """
 
     listing: UpstreamListing
@@ -93,6 +101,7 @@
     last_activity_s: float = 0.0
     n_sharing_cells: int = 1
     has_announced_leaving: bool = False
+    permits: PermitStock | None = None
 
     @property
     def is_leaving(self) -> bool:
@@ -101,7 +110,19 @@
 
     def may_take(self, now_s: float) -> bool:
         """Return whether it may be sent a request now, if it has a free slot."""
-        return not self.is_leaving and self.health.may_take(now_s)
+        has_permit = self.permits is None or self.permits.n_usable(now_s) > 0
+        return has_permit and not self.is_leaving and self.health.may_take(now_s)
+
+    def available_from_s(self, now_s: float) -> float:
+        """Return the monotonic time from which it may take a request.
+
+        It is not later than `now_s` if the upstream takes one now or its next permit is
+        not predicted.
+        """
+        from_s = self.health.may_take_from_s
+        if self.permits is None:
+            return from_s
+        return max(from_s, self.permits.available_from_s(now_s))
 
     def refuses_requests(self, now_s: float) -> bool:
         """Return whether it is leaving or has asked for a rest that has not ended."""
@@ -141,17 +162,17 @@
         "_cell",
         "_cell_sizes",
         "_departures",
-        "_rate_limits",
         "_region",
         "_regions",
         "_starts",
+        "rate_limits",
     )
 
     def __init__(self, region: str, regions: dict[str, str]) -> None:
         self._region = region
         self._regions = regions
         self._departures = DepartureTracker()
-        self._rate_limits = RateLimitTracker()
+        self.rate_limits = RateLimitTracker()
         self._by_id: dict[str, Upstream] = {}
         self._by_service: dict[str, list[Upstream]] = {}
         self._starts: dict[str, FirstEventModel] = {}
@@ -238,6 +259,8 @@
             SpeedEstimate(start=start),
             has_announced_leaving=listing.start in self._departures,
         )
+        if self.rate_limits.rate_per_s(listing.start) is not None:
+            upstream.permits = PermitStock()
         self._by_id[listing.upstream_id] = upstream
         self._by_service.setdefault(listing.service, []).append(upstream)
         return upstream
@@ -275,15 +298,11 @@
 
     def rate_limit_per_s(self, start: UpstreamStart) -> float | None:
         """Return the requests a second that an upstream takes; None if unlimited."""
-        return self._rate_limits.rate_per_s(start)
+        return self.rate_limits.rate_per_s(start)
 
-    @property
-    def n_limited(self) -> int:
-        """Number of listed upstreams that name a limit."""
-        return sum(
-            self.rate_limit_per_s(u.listing.start) is not None
-            for u in self._by_id.values()
-        )
+    def limited(self) -> list[Upstream]:
+        """Return the listed upstreams that name a limit."""
+        return [u for u in self._by_id.values() if u.permits is not None]
 
     def observe_rate_limit(
         self,
@@ -293,7 +312,28 @@
         now_s: float,
     ) -> LimitChange | None:
         """Record what a response says about a limit; return what has changed."""
-        return self._rate_limits.observe(start, statement, sent_s, now_s)
+        change = self.rate_limits.observe(start, statement, sent_s, now_s)
+        self._apply_limit(change)
+        return change
+
+    def merge_rate_limit(
+        self, report: LimitReport, now_s: float, passes_on: bool = False
+    ) -> LimitChange | None:
+        """Record what another gateway reports; return what has changed."""
+        change = self.rate_limits.merge_reported(report, now_s, passes_on)
+        self._apply_limit(change)
+        return change
+
+    def _apply_limit(self, change: LimitChange | None) -> None:
+        if change is None:
+            return
+        upstream = self._by_id.get(change.start.upstream_id)
+        if upstream is None or upstream.listing.start != change.start:
+            return
+        if change.after_per_s is None:
+            upstream.permits = None
+        elif upstream.permits is None:
+            upstream.permits = PermitStock()
 
     def _mark_leaving(self, start: UpstreamStart) -> None:
         upstream = self._by_id.get(start.upstream_id)
--- a/src/pomelothread/policy/rate_limits.py
+++ b/src/pomelothread/policy/rate_limits.py
@@ -7,7 +7,7 @@
 
 import math
 from collections import OrderedDict
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
 from .departures import UpstreamStart
@@ -86,6 +86,25 @@
     return rate_per_s if 0.0 <= rate_per_s < math.inf else None
 
 
+@dataclass(frozen=True, slots=True)
+class LimitReport:
+    """What a gateway tells another one about the limit of an upstream.
+
+    Parameters
+    ----------
+    start : UpstreamStart
+        The upstream.
+    rate_per_s : float or None
+        Requests a second; None if a limit has ended.
+    age_s : float
+        Seconds since the statement.
+    """
+
+    start: UpstreamStart
+    rate_per_s: float | None
+    age_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class KnownLimit:
     """Newest statement about one start of an upstream.
@@ -136,10 +155,13 @@
     >>> tracker.rate_per_s(start)
     """
 
-    __slots__ = ("_known",)
+    __slots__ = ("_known", "_unreported")
 
     def __init__(self) -> None:
         self._known: OrderedDict[UpstreamStart, KnownLimit] = OrderedDict()
+        # Starts whose newest statement has not been reported to peers, as a set that
+        # keeps its order.
+        self._unreported: dict[UpstreamStart, None] = {}
 
     def rate_per_s(self, start: UpstreamStart) -> float | None:
         """Return the limit of an upstream in requests a second, or None."""
@@ -175,11 +197,63 @@
         """
         match statement:
             case RateLimit(rate_per_s):
-                return self._record(start, KnownLimit(rate_per_s, now_s), now_s)
+                change = self._record(start, KnownLimit(rate_per_s, now_s), now_s)
             case NoRateLimit() if start in self._known:
-                return self._record(start, KnownLimit(None, sent_s), now_s)
+                change = self._record(start, KnownLimit(None, sent_s), now_s)
             case NoRateLimit() | UnusableRateLimit():
                 return None
+        if change is not None:
+            self._unreported[start] = None
+        return change
+
+    def merge_reported(
+        self, report: LimitReport, now_s: float, passes_on: bool = False
+    ) -> LimitChange | None:
+        """Record what another gateway reports.
+
+        Parameters
+        ----------
+        report : LimitReport
+            Its newest statement.
+        now_s : float
+            Monotonic time.
+        passes_on : bool
+            Whether a change is to be reported to the own peers, because the other
+            gateway does not send them its reports.
+
+        Returns
+        -------
+        LimitChange or None
+            None if nothing has changed.
+        """
+        limit = KnownLimit(report.rate_per_s, now_s - max(0.0, report.age_s))
+        if report.rate_per_s is None and report.start not in self._known:
+            return None
+        change = self._record(report.start, limit, now_s)
+        if change is not None and passes_on:
+            self._unreported[report.start] = None
+        return change
+
+    def report(self, start: UpstreamStart, now_s: float) -> LimitReport | None:
+        """Return the newest statement of an upstream that has named a limit."""
+        known = self._known.get(start)
+        if known is None:
+            return None
+        return LimitReport(start, known.rate_per_s, now_s - known.stated_s)
+
+    def reports(
+        self, starts: Iterable[UpstreamStart], now_s: float
+    ) -> list[LimitReport]:
+        """Return the newest statements of those upstreams that named a limit."""
+        found = (self.report(start, now_s) for start in starts)
+        return [report for report in found if report is not None]
+
+    def take_unreported(self, limit: int, now_s: float) -> list[LimitReport]:
+        """Take up to `limit` changes that have not been reported to peers."""
+        starts = list(self._unreported)[:limit]
+        for start in starts:
+            del self._unreported[start]
+        return self.reports(starts, now_s)
 
     def _record(
         self, start: UpstreamStart, limit: KnownLimit, now_s: float
--- a/src/pomelothread/policy/upstream_choice.py
+++ b/src/pomelothread/policy/upstream_choice.py
@@ -63,7 +63,8 @@
     Returns
     -------
     list of Upstream
-        Those that are neither leaving nor resting, and at which no probe is running.
+        Those that are neither leaving nor resting, at which no probe is running, and
+        for which there is a permit if they name a limit.
     """
     return [upstream for upstream in upstreams if upstream.may_take(now_s)]
 
@@ -81,8 +82,10 @@
     return [u for u in upstreams if u.listing.upstream_id not in tried]
 
 
-def earliest_available_s(upstreams: Iterable[Upstream], tried: frozenset[str]) -> float:
-    """Return the earliest time at which an untried upstream is not resting.
+def earliest_available_s(
+    upstreams: Iterable[Upstream], tried: frozenset[str], now_s: float
+) -> float:
+    """Return the earliest time at which an untried upstream may take a request.
 
     Parameters
     ----------
@@ -90,17 +93,20 @@
         All upstreams of the service.
     tried : frozenset of str
         Names of the upstreams to which the request has been sent.
+    now_s : float
+        Monotonic time.
 
     Returns
     -------
     float
-        Monotonic time in seconds, in the past if an upstream is not resting now.
+        Monotonic time in seconds, in the past if an upstream is neither resting nor
+        known to have no permits now.
         0.0 if all upstreams are leaving or tried, since another one may be listed at
         any time.
     """
     return min(
         (
-            upstream.health.may_take_from_s
+            upstream.available_from_s(now_s)
             for upstream in upstreams
             if not upstream.is_leaving and upstream.listing.upstream_id not in tried
         ),
