--- a/src/pomelothread/gateway/peer_messages.py
+++ b/src/pomelothread/gateway/peer_messages.py
@@ -116,6 +116,8 @@
         Number of permits, in place of the number in earlier messages.
     urgency : int
         Rank of the most urgent request that waits; lower numbers are more urgent.
+    max_wait_s : float
+        Seconds for which the requests can wait.
     n_returned : int
         Number of permits that the gateway has got and does not use.
     rate_per_s : float or None
@@ -130,6 +132,7 @@
     started_ms: int
     n_wanted: int
     urgency: int
+    max_wait_s: float
     n_returned: int
     rate_per_s: float | None
     limit_age_s: float
@@ -152,6 +155,9 @@
         Number of permits that the receiver gets with this message.
     wait_s : float or None
         Predicted seconds until it gets the next one; None for no prediction.
+    hold_off_s : float
+        Seconds for which the receiver should not ask again; 0.0 while it is to get
+        permits.
     rate_per_s : float or None
         Newest limit that the coordinator knows; None if it has ended.
     limit_age_s : float
@@ -164,6 +170,7 @@
     started_ms: int
     n_issued: int
     wait_s: float | None
+    hold_off_s: float
     rate_per_s: float | None
     limit_age_s: float
 
--- a/src/pomelothread/gateway/permits.py
+++ b/src/pomelothread/gateway/permits.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections import OrderedDict
 from collections.abc import Callable
 
 from msgspec.structs import replace
@@ -17,7 +18,15 @@
     home_cell,
 )
 from ..policy.departures import UpstreamStart
-from ..policy.permits import MAX_WANTED, PermitIssuer, PermitStock, issue_rate_per_s
+from ..policy.permits import (
+    MAX_WANTED,
+    AskPace,
+    Forecast,
+    PermitIssuer,
+    PermitStock,
+    Question,
+    issue_rate_per_s,
+)
 from ..policy.rate_limits import LimitReport
 from ..policy.upstream_choice import has_capacity
 from .limit_log import log_limit_change
@@ -31,6 +40,8 @@
 
 # Maximum number of upstreams of a service that are asked for at a time.
 MAX_ASKED_UPSTREAMS = 4
+# Replies that are remembered to find repeated ones: those of several seconds.
+MAX_REMEMBERED_REPLIES = 1_000
 # Maximum interval between two checks whether this process was frozen.
 MAX_IDLE_S = 0.5
 
@@ -73,9 +84,10 @@
         self._steadiness = Steadiness(self._started_s)
         self._relays = RelayChoice()
         self._issuers: dict[UpstreamStart, PermitIssuer] = {}
+        self._pace = AskPace()
         self._sequence = 0
-        # Newest sequence number of each coordinator, by its incarnation.
-        self._received: dict[str, int] = {}
+        # Incarnation and sequence number of the last replies, oldest first.
+        self._received: OrderedDict[tuple[str, int], None] = OrderedDict()
         self._asks_changed = asyncio.Event()
         self.is_draining = False
         # Sends a message to a peer, without waiting; set by the reporter.
@@ -127,8 +139,13 @@
                 n_waiting = shortage.n_waiting_for(upstream_id, MAX_WANTED)
                 n_wanted = max(0, n_waiting - stock.n_usable(now_s))
             if stock.must_ask(n_wanted, now_s):
-                start = upstream.listing.start
-                self._ask(start, stock, n_wanted, shortage.urgency, now_s)
+                question = Question(
+                    str(self._peers.own_address),
+                    n_wanted,
+                    shortage.urgency,
+                    shortage.max_wait_s(now_s),
+                )
+                self._ask(upstream.listing.start, stock, question, now_s)
 
     def _choose_to_ask(self, limited: list[Upstream], now_s: float) -> list[Upstream]:
         """Return the upstreams whose permits are expected first."""
@@ -152,30 +169,28 @@
         self,
         start: UpstreamStart,
         stock: PermitStock,
-        n_wanted: int,
-        urgency: int,
+        question: Question,
         now_s: float,
     ) -> None:
         self._update(now_s)
         coordinator = self._coordinator(start.upstream_id, now_s)
         if coordinator is None:
             return
-        stock.record_ask(n_wanted, now_s)
+        stock.record_ask(question.n_wanted, now_s)
         if coordinator == self._peers.own_address:
-            wait_s = self._record_ask(start, coordinator, n_wanted, urgency, now_s)
-            if wait_s is not None:
-                stock.record_forecast(wait_s, now_s)
+            forecast = self._record_ask(start, question, now_s)
+            if forecast is not None:
+                stock.record_forecast(forecast, now_s)
             return
-        if n_wanted:
+        if question.n_wanted:
             self._relays.record_ask(start.upstream_id, str(coordinator), now_s)
-        self._send_request(start, coordinator, n_wanted, urgency, now_s)
+        self._send_request(start, coordinator, question, now_s)
 
     def _send_request(
         self,
         start: UpstreamStart,
         coordinator: Address,
-        n_wanted: int,
-        urgency: int,
+        question: Question,
         now_s: float,
         n_returned: int = 0,
     ) -> None:
@@ -187,8 +202,9 @@
             "",
             start.upstream_id,
             start.started_ms,
-            n_wanted,
-            urgency,
+            question.n_wanted,
+            question.urgency,
+            round(question.max_wait_s, 3),
             n_returned,
             limit.rate_per_s,
             limit.age_s,
@@ -233,20 +249,17 @@
             return
         if message.n_returned > 0 and start in self._issuers:
             self._issuers[start].give_back(min(message.n_returned, MAX_WANTED))
-        n_wanted = message.n_wanted
-        wait_s = self._record_ask(start, gateway, n_wanted, message.urgency, now_s)
-        if n_wanted > 0:
-            self._reply(start, gateway, 0, wait_s, now_s)
+        question = Question(
+            str(gateway), message.n_wanted, message.urgency, message.max_wait_s
+        )
+        forecast = self._record_ask(start, question, now_s)
+        if question.n_wanted > 0:
+            self._reply(start, gateway, 0, forecast, now_s)
 
     def _record_ask(
-        self,
-        start: UpstreamStart,
-        gateway: Address,
-        n_wanted: int,
-        urgency: int,
-        now_s: float,
-    ) -> float | None:
-        """Record a question at this coordinator; return how long it will take."""
+        self, start: UpstreamStart, question: Question, now_s: float
+    ) -> Forecast | None:
+        """Record a question at this coordinator; return None if there is no limit."""
         rate_per_s = self._issue_rate_per_s(start)
         if rate_per_s is None:
             return None
@@ -261,9 +274,12 @@
                 share=round(self._steadiness.share, 3),
                 n_gateways=len(self._peers) + 1,
             )
-        issuer.ask(str(gateway), n_wanted, urgency, now_s)
+        wait_s = issuer.ask(question, rate_per_s, now_s)
         self._asks_changed.set()
-        return issuer.wait_s(str(gateway), urgency, rate_per_s)
+        self._pace.record(f"{start.upstream_id} {question.gateway}", now_s)
+        if wait_s <= question.max_wait_s:
+            return Forecast(wait_s)
+        return Forecast(wait_s, self._pace.hold_off_s(now_s))
 
     def issue_due(self) -> float | None:
         """Issue the permits that are due.
@@ -311,7 +327,7 @@
         start: UpstreamStart,
         gateway: Address,
         n_issued: int,
-        wait_s: float | None,
+        forecast: Forecast | None,
         now_s: float,
     ) -> None:
         limit = self._upstreams.rate_limits.report(start, now_s)
@@ -324,7 +340,8 @@
             start.upstream_id,
             start.started_ms,
             n_issued,
-            wait_s,
+            round(forecast.wait_s, 3) if forecast is not None else None,
+            round(forecast.hold_off_s, 3) if forecast is not None else 0.0,
             limit.rate_per_s,
             limit.age_s,
         )
@@ -334,21 +351,26 @@
         self, start: UpstreamStart, sender: Address, message: PermitReply, now_s: float
     ) -> None:
         self._relays.record_reply(start.upstream_id)
-        if message.sequence <= self._received.get(message.incarnation, 0):
+        identity = (message.incarnation, message.sequence)
+        if identity in self._received:
             # A datagram that arrives twice must not bring its permits twice.
             return
-        self._received[message.incarnation] = message.sequence
+        self._received[identity] = None
+        if len(self._received) > MAX_REMEMBERED_REPLIES:
+            self._received.popitem(last=False)
         upstream = self._upstreams.get(start.upstream_id)
         if (
             message.wait_s is not None
             and upstream is not None
             and upstream.permits is not None
         ):
-            upstream.permits.record_forecast(max(0.0, message.wait_s), now_s)
+            forecast = Forecast(message.wait_s, message.hold_off_s)
+            upstream.permits.record_forecast(forecast, now_s)
         if message.n_issued > 0:
             n_unused = self._receive(start, min(message.n_issued, MAX_WANTED), now_s)
             if n_unused:
-                self._send_request(start, sender, 0, 0, now_s, n_unused)
+                no_question = Question(str(self._peers.own_address), 0, 0, 0.0)
+                self._send_request(start, sender, no_question, now_s, n_unused)
 
     def _receive(self, start: UpstreamStart, n_issued: int, now_s: float) -> int:
         """Use permits that were issued to this gateway; return how many it does not."""
--- a/src/pomelothread/gateway/queue.py
+++ b/src/pomelothread/gateway/queue.py
@@ -101,6 +101,11 @@
         """Rank of the most urgent request; lower numbers are more urgent."""
         return min((job.waiting.urgency for job in self.jobs), default=0)
 
+    def max_wait_s(self, now_s: float) -> float:
+        """Return the longest time in seconds that a request can still wait."""
+        until_s = max((gives_up_at_s(job.waiting) for job in self.jobs), default=now_s)
+        return max(0.0, until_s - now_s)
+
     def n_waiting_for(self, upstream_id: str, n_most: int) -> int:
         """Return how many requests may be sent to an upstream, up to `n_most`."""
         untried = (job for job in self.jobs if upstream_id not in job.tried)
--- a/src/pomelothread/policy/permits.py
+++ b/src/pomelothread/policy/permits.py
@@ -15,6 +15,7 @@
 """
 
 import math
+from collections import OrderedDict
 from dataclasses import dataclass, field
 
 # An upstream that takes fewer requests than this, or none, still gets some: only its
@@ -31,10 +32,13 @@
 # that is not repeated is void after the second time.
 ASK_RENEWAL_S = 0.4
 ASK_LIFETIME_S = 1.2
-# Minimum time between two different questions about the same upstream.
-MIN_ASK_GAP_S = 0.05
-# The predicted time of the next permit is used for this long.
-FORECAST_LIFETIME_S = 0.5
+# A gateway whose requests cannot wait for a permit asks again after this time. If many
+# gateways ask, the time is longer, so that a coordinator gets no more than
+# `MAX_ASKS_PER_S`: with its replies they take half of the bytes that a gateway may
+# spend for control.
+MIN_HOLD_OFF_S = 0.5
+MAX_HOLD_OFF_S = 10.0
+MAX_ASKS_PER_S = 30.0
 # Maximum number of permits that a gateway may wait for at one upstream.
 MAX_WANTED = 8
 
@@ -57,12 +61,84 @@
     return share * max(MIN_RATE_PER_S, limit_per_s)
 
 
+@dataclass(frozen=True, slots=True)
+class Question:
+    """How many permits of an upstream a gateway waits for.
+
+    Parameters
+    ----------
+    gateway : str
+        Name of the gateway.
+    n_wanted : int
+        Number of permits; 0 if it does not wait any more.
+    urgency : int
+        Rank of its most urgent waiting request; lower numbers come first.
+    max_wait_s : float
+        Seconds for which its requests can wait.
+    """
+
+    gateway: str
+    n_wanted: int
+    urgency: int
+    max_wait_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Forecast:
+    """What a coordinator predicts for a gateway that has asked.
+
+    Parameters
+    ----------
+    wait_s : float
+        Seconds until its next permit.
+    hold_off_s : float
+        Seconds for which it should not ask again, because its requests cannot wait
+        that long; 0.0 if it gets the permit.
+    """
+
+    wait_s: float
+    hold_off_s: float = 0.0
+
+
+class AskPace:
+    """Decides when gateways may ask again, so that a coordinator gets few questions.
+
+    Examples
+    --------
+    >>> pace = AskPace()
+    >>> for number in range(200):
+    ...     pace.record(f"gateway-{number}", now_s=1.0)
+    >>> pace.hold_off_s(now_s=1.0)
+    6.666666666666667
+    """
+
+    __slots__ = ("_asked_s",)
+
+    def __init__(self) -> None:
+        # Time of the last question of each gateway and upstream, oldest first.
+        self._asked_s: OrderedDict[str, float] = OrderedDict()
+
+    def record(self, source: str, now_s: float) -> None:
+        """Record a question; `source` stands for its gateway and upstream."""
+        self._asked_s[source] = now_s
+        self._asked_s.move_to_end(source)
+
+    def hold_off_s(self, now_s: float) -> float:
+        """Return the seconds after which a gateway may ask again."""
+        while self._asked_s and now_s - next(iter(self._asked_s.values())) > (
+            MAX_HOLD_OFF_S
+        ):
+            self._asked_s.popitem(last=False)
+        paced_s = len(self._asked_s) / MAX_ASKS_PER_S
+        return min(MAX_HOLD_OFF_S, max(MIN_HOLD_OFF_S, paced_s))
+
+
 @dataclass(slots=True)
 class _Ask:
     n_wanted: int
     urgency: int
     since_s: float
-    renewed_s: float
+    until_s: float
 
 
 class PermitIssuer:
@@ -79,7 +155,8 @@
     Examples
     --------
     >>> issuer = PermitIssuer(now_s=0.0)
-    >>> issuer.ask("gateway-1", n_wanted=2, urgency=0, now_s=0.0)
+    >>> issuer.ask(Question("gateway-1", 2, 0, max_wait_s=1.0), 2.0, now_s=0.0)
+    0.5
     >>> issuer.issue(rate_per_s=2.0, now_s=0.4), issuer.issue(rate_per_s=2.0, now_s=0.6)
     ([], ['gateway-1'])
     """
@@ -91,29 +168,36 @@
         self._updated_s = now_s
         self._asks: dict[str, _Ask] = {}
 
-    def ask(self, gateway: str, n_wanted: int, urgency: int, now_s: float) -> None:
-        """Record how many permits a gateway waits for, in place of its last number.
+    def ask(self, question: Question, rate_per_s: float, now_s: float) -> float:
+        """Record a question in place of the last one of its gateway.
 
         Parameters
         ----------
-        gateway : str
-            Name of the gateway.
-        n_wanted : int
-            Number of permits; 0 if it does not wait any more.
-        urgency : int
-            Rank of its most urgent waiting request; lower numbers come first.
+        question : Question
+            It is not recorded if its requests cannot wait for the next permit.
+        rate_per_s : float
+            Permits a second.
         now_s : float
             Monotonic time.
+
+        Returns
+        -------
+        float
+            Predicted seconds until the gateway gets its next permit.
         """
-        known = self._asks.get(gateway)
-        if n_wanted <= 0:
-            self._asks.pop(gateway, None)
-        elif known is None:
-            n_wanted = min(n_wanted, MAX_WANTED)
-            self._asks[gateway] = _Ask(n_wanted, urgency, now_s, now_s)
-        else:
-            known.n_wanted = min(n_wanted, MAX_WANTED)
-            known.urgency, known.renewed_s = urgency, now_s
+        self._update(rate_per_s, now_s)
+        name = question.gateway
+        known = self._asks.pop(name, None)
+        order = (question.urgency, known.since_s if known is not None else now_s)
+        n_before = sum(a.n_wanted for a in self._asks.values() if _order(a) <= order)
+        wait_s = max(0.0, n_before + 1.0 - self._n_permits) / rate_per_s
+        if question.n_wanted > 0 and wait_s <= question.max_wait_s:
+            self._asks[name] = _Ask(
+                min(question.n_wanted, MAX_WANTED),
+                *order,
+                until_s=now_s + min(ASK_LIFETIME_S, question.max_wait_s),
+            )
+        return wait_s
 
     def give_back(self, n_permits: int) -> None:
         """Return permits that have not been used."""
@@ -146,27 +230,6 @@
                 del self._asks[name]
         return receivers
 
-    def wait_s(self, gateway: str, urgency: int, rate_per_s: float) -> float:
-        """Predict the seconds until a gateway gets its next permit.
-
-        Parameters
-        ----------
-        gateway : str
-            Name of the gateway, which need not have asked.
-        urgency : int
-            Rank of its most urgent request.
-        rate_per_s : float
-            Permits a second.
-        """
-        own = self._asks.get(gateway)
-        order = _order(own) if own is not None else (urgency, math.inf)
-        n_before = sum(
-            ask.n_wanted
-            for name, ask in self._asks.items()
-            if name != gateway and _order(ask) < order
-        )
-        return max(0.0, n_before + 1.0 - self._n_permits) / rate_per_s
-
     def next_due_s(self, rate_per_s: float) -> float | None:
         """Return the monotonic time of the next permit; None if nobody waits."""
         if not self._asks:
@@ -179,7 +242,7 @@
         self._n_permits = min(n_most, self._n_permits + n_new)
         self._updated_s = now_s
         for name, ask in list(self._asks.items()):
-            if now_s - ask.renewed_s > ASK_LIFETIME_S:
+            if now_s > ask.until_s:
                 del self._asks[name]
 
 
@@ -197,13 +260,13 @@
     usable_until_s : list of float
         Monotonic time until which each permit may be used.
     n_asked : int
-        Number of permits that the gateway has last asked for.
+        Number of permits that the gateway waits for at the coordinator.
     asked_s : float
         Monotonic time of its last question.
-    forecast_s : float
+    next_permit_s : float
         Monotonic time at which the next permit is predicted.
-    forecast_made_s : float
-        Monotonic time of that prediction.
+    hold_off_until_s : float
+        Monotonic time until which the gateway does not ask.
 
     Examples
     --------
@@ -221,32 +284,37 @@
     usable_until_s: list[float] = field(default_factory=list)
     n_asked: int = 0
     asked_s: float = -math.inf
-    forecast_s: float = 0.0
-    forecast_made_s: float = -math.inf
+    next_permit_s: float = 0.0
+    hold_off_until_s: float = 0.0
 
     def n_usable(self, now_s: float) -> int:
         """Return the number of permits that may be used now."""
         return sum(until_s >= now_s for until_s in self.usable_until_s)
 
     def available_from_s(self, now_s: float) -> float:
-        """Return the monotonic time of the next permit; 0.0 if it is not known."""
-        is_known = now_s - self.forecast_made_s <= FORECAST_LIFETIME_S
-        return self.forecast_s if is_known and not self.n_usable(now_s) else 0.0
+        """Return the monotonic time of the next permit, in the past if unknown."""
+        if self.n_usable(now_s):
+            return 0.0
+        return max(self.next_permit_s, self.hold_off_until_s)
 
     def must_ask(self, n_wanted: int, now_s: float) -> bool:
         """Return whether the coordinator has to be asked for permits, or told that."""
-        asked_ago_s = now_s - self.asked_s
-        if n_wanted != self.n_asked:
-            return asked_ago_s >= MIN_ASK_GAP_S
-        return n_wanted > 0 and asked_ago_s >= ASK_RENEWAL_S
+        if now_s < self.hold_off_until_s:
+            return False
+        if n_wanted == 0 or self.n_asked == 0:
+            return n_wanted != self.n_asked
+        return now_s - self.asked_s >= ASK_RENEWAL_S
 
     def record_ask(self, n_wanted: int, now_s: float) -> None:
         """Record that the coordinator was asked for permits."""
         self.n_asked, self.asked_s = n_wanted, now_s
 
-    def record_forecast(self, wait_s: float, now_s: float) -> None:
-        """Record how long the next permit is predicted to take."""
-        self.forecast_s, self.forecast_made_s = now_s + wait_s, now_s
+    def record_forecast(self, forecast: Forecast, now_s: float) -> None:
+        """Record what the coordinator predicts."""
+        self.next_permit_s = now_s + forecast.wait_s
+        if forecast.hold_off_s > 0.0:
+            self.hold_off_until_s = now_s + min(MAX_HOLD_OFF_S, forecast.hold_off_s)
+            self.n_asked = 0
 
     def add(self, n_permits: int, now_s: float) -> int:
         """Add permits that have arrived; return how many of them are usable."""
