Play limits of upstreams and cuts between gateways in the soak

The check counts at the upstreams all requests, rejected ones too, from gateways that had passed on the limit half a second before and were not started again since. Requests that a faulty link to the upstream held back do not count: the proxy delivers them all at once at the end of its fault.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,14 +10,26 @@
     QUOTA_ORGANISATION,
     SAFETY_CHECKS,
     TIMED_CHECKS,
+    Arrival,
     CallerRequest,
     Disruption,
     History,
+    NamedLimit,
     Probe,
     Run,
     violations,
 )
-from soak_plan import Kill, PlannedFault, Reconfigure, Stop, UpstreamTrouble, plan_soak
+from soak_plan import (
+    Kill,
+    NamesLimit,
+    Pause,
+    PeerCut,
+    PlannedFault,
+    Reconfigure,
+    Stop,
+    UpstreamTrouble,
+    plan_soak,
+)
 from standins.platform import UpstreamFault
 
 ALL_CHECKS = SAFETY_CHECKS | TIMED_CHECKS
@@ -78,6 +90,28 @@
     for n in range(30)
 ]
 
+
+def make_limited_history(n_arrivals, arrive_s=12.0, **parts):
+    """Gateway 0 passes on a limit of 0.5 at 10.5 s; requests arrive 30 ms apart."""
+    headers = {"x-attempt-id": "r0", "x-response-seal": "seal.desk-1"}
+    requests = [
+        make_request("r0", headers={**headers, "server-limit": "0.5"}),
+        *(make_request(f"r{n}") for n in range(1, n_arrivals + 1)),
+    ]
+    values = {
+        "starts": [(0, 0.0)],
+        "limits": [NamedLimit("desk-1", 0.5, 10.0, 20.0)],
+        "arrivals": [
+            Arrival(f"r{n}", "desk-1", arrive_s + 0.03 * n)
+            for n in range(1, n_arrivals + 1)
+        ],
+        **parts,
+    }
+    return make_history(
+        *requests, *(make_run(r.request_id) for r in requests), **values
+    )
+
+
 # Pairs of a check and a history that violates this check and no other.
 VIOLATING_HISTORIES = [
     (
@@ -158,6 +192,7 @@
             ),
         ),
     ),
+    ("limits are kept", make_limited_history(n_arrivals=9)),
     (
         "planned stops cut nothing",
         make_history(
@@ -206,6 +241,28 @@
     assert violations(recorded, ALL_CHECKS) == []
 
 
+# requests, time of the first, further parts of a history that keeps the limit.
+KEPT_LIMITS = [
+    (8, 12.0, {}),
+    # The gateway was told less than half a second before.
+    (9, 10.6, {}),
+    # The gateway was started again after it was told.
+    (9, 12.0, {"starts": [(0, 0.0), (0, 11.0)]}),
+    # The limit has ended.
+    (9, 12.0, {"limits": [NamedLimit("desk-1", 0.5, 10.0, 11.9)]}),
+    # The link held them back.
+    (9, 12.0, {"held_spans": {"desk-1": [(11.0, 13.0)]}}),
+]
+
+
+@pytest.mark.parametrize(("n_arrivals", "arrive_s", "parts"), KEPT_LIMITS)
+def test_a_limit_binds_gateways_that_were_told_while_it_is_named(
+    n_arrivals, arrive_s, parts
+):
+    recorded = make_limited_history(n_arrivals, arrive_s, **parts)
+    assert violations(recorded, ALL_CHECKS) == []
+
+
 @pytest.mark.parametrize(
     "check", ["versions are in force", "every request is answered"]
 )
@@ -255,6 +312,11 @@
 async def drain(self, callers): callers.close()
 process.Gateway._drain = drain
 """
+IGNORES_LIMITS = """
+from pomelothread.gateway.upstreams import UpstreamTable
+UpstreamTable.observe_rate_limit = lambda *args, **fields: None
+"""
+LIMITS = [NamesLimit((3, 4, 5), 0.5, 6.0)]
 LOST_RESPONSES = [
     UpstreamTrouble(n, UpstreamFault.LOSES_ANSWER, 2.0) for n in (3, 4, 5)
 ]
@@ -266,12 +328,14 @@
         (REPEATS_EVERYTHING, LOST_RESPONSES, "runs once"),
         (REPORTS_RUN_AS_NOT_RUN, LOST_RESPONSES, "refusals are true"),
         (IGNORES_QUOTAS, [], "quotas are kept"),
+        (IGNORES_LIMITS, LIMITS, "limits are kept"),
         (STOPS_AT_ONCE, [Stop(0), Stop(1), Stop(2)], "planned stops cut nothing"),
     ],
     ids=[
         "repeats everything",
         "reports run as not run",
         "ignores quotas",
+        "ignores limits",
         "stops at once",
     ],
 )
@@ -291,6 +355,9 @@
         PlannedFault(1.0, Kill((0,), 0.1)),
         PlannedFault(1.2, Reconfigure(3)),
         PlannedFault(1.4, Stop(1)),
+        PlannedFault(1.5, NamesLimit((1, 3, 4), 1.9, 2.0)),
+        PlannedFault(1.6, PeerCut(2, 0.5)),
+        PlannedFault(2.2, Pause(2, 0.3)),
         PlannedFault(2.6, Kill((0, 1, 2), 0.1)),
     ]
     verdict = asyncio.run(soak(1, tmp_path, 3.5, is_timed=False, plan=plan))
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -27,7 +27,7 @@
 from soak_world import HOST, KEYS, SoakDeployment
 from standins.platform_caller import Answer, Caller, open_caller
 
-GATEWAY = ["-m", "pomelothread.platform"]
+GATEWAY = [str(Path(__file__).with_name("soak_gateway.py"))]
 N_CALLERS = 18
 DURATION_S = 15.0
 # Requests that each caller sends after the last fault, to check recovery.
--- a/tools/soak_checks.py
+++ b/tools/soak_checks.py
@@ -20,6 +20,14 @@
 # Allowance for scheduling delays of a machine that runs all processes.
 SCHEDULING_TOLERANCE_S = 1.0
 
+# In any span of this length an upstream may get this many times the limit that it
+# names, and a few more requests, from gateways that have passed the limit on to a
+# caller some time before.
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
+LIMIT_TOLD_S = 0.5
+
 QUOTA_ORGANISATION = "guild"
 N_EVENTS = 12
 # Routes whose requests must run at most once.
@@ -27,6 +35,7 @@
 # Statuses by which the gateway states that the request has not run.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 SEAL_HEADER = "x-response-seal"
+LIMIT_HEADER = "server-limit"
 
 
 @dataclass(slots=True)
@@ -96,6 +105,25 @@
     at_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request that has reached an upstream, whether it ran or not."""
+
+    request_id: str
+    upstream_id: str
+    at_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class NamedLimit:
+    """Time span in which an upstream named one limit in all its responses."""
+
+    upstream_id: str
+    rate_per_s: float
+    start_s: float
+    end_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class Disruption:
     """A fault or restart of one gateway or of all.
@@ -140,6 +168,12 @@
     leaving: dict[str, float] = field(default_factory=dict)
     # Time spans in which an upstream or the link to it was faulty, by its id.
     faulty_spans: dict[str, list[tuple[float, float]]] = field(default_factory=dict)
+    arrivals: list[Arrival] = field(default_factory=list)
+    limits: list[NamedLimit] = field(default_factory=list)
+    # Gateway number and time of each start of a process.
+    starts: list[tuple[int, float]] = field(default_factory=list)
+    # Time spans in which the link to an upstream held requests back, by its id.
+    held_spans: dict[str, list[tuple[float, float]]] = field(default_factory=dict)
     # Gateway number and time of each SIGTERM.
     stops: list[tuple[int, float]] = field(default_factory=list)
     # Requests sent from this time on follow the last fault; nine tenths must succeed.
@@ -164,6 +198,11 @@
             for disruption in self.disruptions
         )
 
+    def was_held(self, upstream_id: str, at_s: float) -> bool:
+        """Tell whether the link to an upstream held requests back until then."""
+        spans = self.held_spans.get(upstream_id, ())
+        return any(start_s <= at_s <= end_s for start_s, end_s in spans)
+
     def was_healthy(self, upstream_id: str, from_s: float, to_s: float) -> bool:
         """Tell whether an upstream had no fault throughout a span."""
         spans = self.faulty_spans.get(upstream_id, ())
@@ -326,6 +365,53 @@
             return
 
 
+def limits_are_kept(history: History) -> Iterator[str]:
+    """Find a time window in which an upstream got more than the limit it named.
+
+    A gateway counts from `LIMIT_TOLD_S` after it passed on a response with the limit
+    until it is started again.
+    """
+    gateways = {request.request_id: request.gateway for request in history.requests}
+    for limit in history.limits:
+        told = [
+            (request.gateway, request.ended_s)
+            for request in history.requests
+            if LIMIT_HEADER in request.headers
+            and request.headers.get(SEAL_HEADER) == f"seal.{limit.upstream_id}"
+            and request.ended_s is not None
+            and limit.start_s <= request.ended_s
+        ]
+        times_s = sorted(
+            arrival.at_s
+            for arrival in history.arrivals
+            if arrival.upstream_id == limit.upstream_id
+            and limit.start_s <= arrival.at_s <= limit.end_s
+            and not history.was_held(limit.upstream_id, arrival.at_s)
+            and arrival.request_id in gateways
+            and _was_told(history, told, gateways[arrival.request_id], arrival.at_s)
+        )
+        allowed = LIMIT_FACTOR * limit.rate_per_s * LIMIT_WINDOW_S + LIMIT_SLACK
+        most = max(
+            (_n_within(times_s, start_s, start_s + LIMIT_WINDOW_S))
+            for start_s in (*times_s, 0.0)
+        )
+        if most > allowed:
+            yield (
+                f"{limit.upstream_id} got {most} requests within {LIMIT_WINDOW_S} s "
+                f"at {limit.rate_per_s} a second, {allowed:.0f} allowed"
+            )
+
+
+def _was_told(
+    history: History, told: list[tuple[int, float]], gateway: int, at_s: float
+) -> bool:
+    started_s = max((s for g, s in history.starts if g == gateway and s <= at_s))
+    return any(
+        number == gateway and started_s <= told_s <= at_s - LIMIT_TOLD_S
+        for number, told_s in told
+    )
+
+
 def planned_stops_cut_nothing(history: History) -> Iterator[str]:
     """Find requests that were open at SIGTERM and cut by the stop."""
     runs = history.runs_by_id()
@@ -383,6 +469,7 @@
     "versions never go back": versions_never_go_back,
     "repeats keep to the budget": repeats_keep_to_the_budget,
     "quotas are kept": quotas_are_kept,
+    "limits are kept": limits_are_kept,
     "planned stops cut nothing": planned_stops_cut_nothing,
     "everything recovers": everything_recovers,
 }
--- a/tools/soak_plan.py
+++ b/tools/soak_plan.py
@@ -74,6 +74,23 @@
     for_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class NamesLimit:
+    """Upstreams name a limit in their responses."""
+
+    upstreams: tuple[int, ...]
+    rate_per_s: float
+    for_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class PeerCut:
+    """A gateway is cut off from its peers, and from nothing else."""
+
+    gateway: int
+    for_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class Replace:
     """An upstream is replaced, with or without an announcement that it leaves."""
@@ -102,6 +119,8 @@
     | StoreFault
     | UpstreamLink
     | UpstreamTrouble
+    | NamesLimit
+    | PeerCut
     | Replace
     | Reconfigure
     | ForeignRecords
@@ -135,6 +154,10 @@
 )
 # Mean time between the starts of two faults with an endless answer.
 MEAN_ENDLESS_GAP_S = 5.0
+# Mean time between the starts of two limits, and of two cuts between gateways.
+MEAN_LIMIT_GAP_S = 4.0
+MEAN_PEER_CUT_GAP_S = 6.0
+LIMITS_PER_S = (0.0, 0.5, 1.9, 5.0)
 
 
 def plan_soak(seed: int, duration_s: float) -> list[PlannedFault]:
@@ -164,6 +187,7 @@
         plan.append(PlannedFault(round(at_s, 2), _draw_fault(rng)))
         at_s += rng.expovariate(1.0 / MEAN_FAULT_GAP_S)
     plan += _plan_endless(seed, duration_s)
+    plan += _plan_limits(seed, duration_s)
     return sorted(plan, key=lambda planned: planned.at_s)
 
 
@@ -186,6 +210,30 @@
     return plan
 
 
+def _plan_limits(seed: int, duration_s: float) -> list[PlannedFault]:
+    """Draw limits that upstreams name, and cuts between gateways.
+
+    They use a generator of their own, for the same reason.
+    """
+    rng = random.Random(f"limits {seed}")
+    plan: list[PlannedFault] = []
+    at_s = FIRST_FAULT_S + rng.expovariate(1.0 / MEAN_LIMIT_GAP_S)
+    while at_s < duration_s:
+        first = rng.choice((0, N_ENGINES))
+        service = range(first, first + N_ENGINES)
+        upstreams = tuple(rng.sample(service, rng.randint(1, len(service))))
+        for_s = round(rng.uniform(3.0, 8.0), 2)
+        limit = NamesLimit(upstreams, rng.choice(LIMITS_PER_S), for_s)
+        plan.append(PlannedFault(round(at_s, 2), limit))
+        at_s += rng.expovariate(1.0 / MEAN_LIMIT_GAP_S)
+    at_s = FIRST_FAULT_S + rng.expovariate(1.0 / MEAN_PEER_CUT_GAP_S)
+    while at_s < duration_s:
+        cut = PeerCut(rng.randrange(N_GATEWAYS), round(rng.uniform(0.3, 5.0), 2))
+        plan.append(PlannedFault(round(at_s, 2), cut))
+        at_s += rng.expovariate(1.0 / MEAN_PEER_CUT_GAP_S)
+    return plan
+
+
 def _draw_fault(rng: random.Random) -> Fault:
     gateway = rng.randrange(N_GATEWAYS)
     upstream = rng.randrange(N_ENGINES + N_DESKS)
--- a/tools/soak_world.py
+++ b/tools/soak_world.py
@@ -6,12 +6,14 @@
 import socket
 import sys
 import time
+from collections.abc import Callable
 from contextlib import suppress
 from pathlib import Path
 
 import soak_checks
 from pomelothread.addresses import Address
-from soak_checks import Disruption, History, Probe, Run
+from soak_checks import Arrival, Disruption, History, NamedLimit, Probe, Run
+from soak_gateway import cut_path
 from soak_plan import (
     N_DESKS,
     N_ENGINES,
@@ -19,7 +21,9 @@
     Fault,
     ForeignRecords,
     Kill,
+    NamesLimit,
     Pause,
+    PeerCut,
     Reconfigure,
     Replace,
     Stop,
@@ -89,6 +93,8 @@
         Directory for settings and logs.
     program : list of str
         Interpreter arguments that precede the flags.
+    on_start : callable
+        Called with the number before each start of the process.
     """
 
     def __init__(
@@ -98,7 +104,9 @@
         store: Address,
         directory: Path,
         program: list[str],
+        on_start: Callable[[int], None],
     ) -> None:
+        self.on_start = on_start
         ip = f"127.0.0.{number + 2}"
         self.number = number
         self.incarnation = 0
@@ -137,6 +145,7 @@
     async def start(self) -> None:
         """Start the process without waiting until it is ready."""
         self.incarnation += 1
+        self.on_start(self.number)
         log_path = self._directory / f"gateway-{self.number}.log"
         with log_path.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
@@ -148,6 +157,13 @@
                 env=os.environ,
             )
 
+    async def cut_from_peers(self, for_s: float) -> None:
+        """Lose all messages between this gateway and the others for some time."""
+        path = cut_path(self._settings_path)
+        path.touch()
+        await asyncio.sleep(for_s)
+        path.unlink(missing_ok=True)
+
     async def wait_until_ready(self) -> None:
         """Wait until the gateway reports that it is ready."""
         async with asyncio.timeout(START_TIMEOUT_S):
@@ -248,7 +264,12 @@
         store = Address("127.0.0.1", self.store.http.port)
         for number in range(N_GATEWAYS):
             gateway = GatewayProcess(
-                number, ports, store, self._directory, self._program
+                number,
+                ports,
+                store,
+                self._directory,
+                self._program,
+                lambda n: self.history.starts.append((n, self.now_s())),
             )
             self.gateways.append(gateway)
             await gateway.prepare()
@@ -346,12 +367,22 @@
                     self._links[upstream.upstream_id], link_fault, for_s
                 )
                 self._record_faulty_span(upstream, start_s)
+                held = self.history.held_spans.setdefault(upstream.upstream_id, [])
+                # What was held arrives at the end of the fault, or after the delay.
+                held.append((start_s, self.now_s() + 2 * LINK_DELAY_S))
             case UpstreamTrouble(number, upstream_fault, for_s):
                 upstream = self._upstreams[number]
                 upstream.fault = upstream_fault
                 await asyncio.sleep(for_s)
                 upstream.fault = UpstreamFault.NONE
                 self._record_faulty_span(upstream, start_s)
+            case NamesLimit(numbers, rate_per_s, for_s):
+                await asyncio.gather(
+                    *(self._name_limit(n, rate_per_s, for_s) for n in numbers)
+                )
+            case PeerCut(number, for_s):
+                await self.gateways[number].cut_from_peers(for_s)
+                self._record_disruption(number, start_s)
             case Replace(number, is_announced):
                 await self._replace(number, is_announced)
             case Reconfigure(n_versions):
@@ -365,6 +396,18 @@
                 self.store.put("keyed.quotas", "other", {"written_ms": "soon"})
                 self.store.put("keyed.crashes", "other", [1, 2])
 
+    async def _name_limit(self, number: int, rate_per_s: float, for_s: float) -> None:
+        upstream = self._upstreams[number]
+        if upstream.extra_headers:
+            # It names another limit already.
+            return
+        start_s = self.now_s()
+        upstream.extra_headers = {soak_checks.LIMIT_HEADER: str(rate_per_s)}
+        await asyncio.sleep(for_s)
+        upstream.extra_headers = {}
+        limit = NamedLimit(upstream.upstream_id, rate_per_s, start_s, self.now_s())
+        self.history.limits.append(limit)
+
     async def _kill(self, number: int, down_s: float) -> None:
         gateway = self.gateways[number]
         async with gateway.lock:
@@ -459,6 +502,14 @@
 
     def _collect_runs(self) -> None:
         for upstream in (*self._upstreams, *self._replaced):
+            self.history.arrivals += [
+                Arrival(
+                    call.headers.get("x-attempt-id", ""),
+                    upstream.upstream_id,
+                    call.received_s - self._started_s,
+                )
+                for call in upstream.received_calls
+            ]
             self.history.runs += [
                 Run(
                     call.headers.get("x-attempt-id", ""),
--- a/tools/standins/platform.py
+++ b/tools/standins/platform.py
@@ -322,6 +322,8 @@
         self.extra_headers: dict[str, str] = {}
         self.started_ms = 1_700_000_000_000
         self.executed_calls: list[Call] = []
+        # All requests that were meant for it, with those that it rejects.
+        self.received_calls: list[Call] = []
         self.n_caller_disconnects = 0
         self.n_shed = 0
         self.may_answer = asyncio.Event()
@@ -348,6 +350,7 @@
             instance_header = {"X-Instance-Id": self.upstream_id}
             await call.respond(421, headers=instance_header | self.extra_headers)
             return
+        self.received_calls.append(call)
         if self.fault is UpstreamFault.SHEDS:
             self.n_shed += 1
             not_run = {"X-Not-Executed": "1"}
