--- a/src/pomelothread/gateway/permits.py
+++ b/src/pomelothread/gateway/permits.py
@@ -20,6 +20,7 @@
 from ..policy.departures import UpstreamStart
 from ..policy.permits import (
     MAX_WANTED,
+    MIN_HOLD_OFF_S,
     AskPace,
     Forecast,
     PermitIssuer,
@@ -175,6 +176,9 @@
         self._update(now_s)
         coordinator = self._coordinator(start.upstream_id, now_s)
         if coordinator is None:
+            # After a start of the whole fleet, all gateways settle at the same time.
+            wait_s = self._steadiness.settles_in_s(now_s)
+            stock.record_forecast(Forecast(wait_s, MIN_HOLD_OFF_S), now_s)
             return
         stock.record_ask(question.n_wanted, now_s)
         if coordinator == self._peers.own_address:
--- a/src/pomelothread/policy/coordinators.py
+++ b/src/pomelothread/policy/coordinators.py
@@ -121,9 +121,13 @@
         """Return the seconds without interruption; 0.0 while isolated."""
         return 0.0 if self.is_isolated else now_s - self._since_s
 
+    def settles_in_s(self, now_s: float) -> float:
+        """Return the seconds without interruption until it may coordinate."""
+        return max(0.0, SETTLING_S - (now_s - self._since_s))
+
     def is_settled(self, now_s: float) -> bool:
         """Return whether this gateway may coordinate, for others or for itself."""
-        return now_s - self._since_s >= SETTLING_S
+        return self.settles_in_s(now_s) == 0.0
 
 
 class RelayChoice:
--- a/src/pomelothread/policy/rate_limits.py
+++ b/src/pomelothread/policy/rate_limits.py
@@ -226,9 +226,12 @@
         LimitChange or None
             None if nothing has changed.
         """
-        limit = KnownLimit(report.rate_per_s, now_s - max(0.0, report.age_s))
-        if report.rate_per_s is None and report.start not in self._known:
+        rate_per_s = report.rate_per_s
+        if rate_per_s is None and report.start not in self._known:
             return None
+        if rate_per_s is not None and not 0.0 <= rate_per_s < math.inf:
+            return None
+        limit = KnownLimit(rate_per_s, now_s - max(0.0, report.age_s))
         change = self._record(report.start, limit, now_s)
         if change is not None and passes_on:
             self._unreported[report.start] = None
@@ -264,9 +267,16 @@
         self._known[start] = limit
         self._known.move_to_end(start)
         if len(self._known) > MAX_TRACKED_STARTS:
-            self._known.popitem(last=False)
+            self._forget_one()
         before_per_s = known.rate_per_s if known is not None else None
         if before_per_s == limit.rate_per_s:
             return None
         age_s = now_s - limit.stated_s
         return LimitChange(start, before_per_s, limit.rate_per_s, age_s)
+
+    def _forget_one(self) -> None:
+        """Forget the oldest statement, if possible one that has ended a limit."""
+        ended = (s for s, limit in self._known.items() if limit.rate_per_s is None)
+        start = next(ended, next(iter(self._known)))
+        del self._known[start]
+        self._unreported.pop(start, None)
--- a/tests/test_fuzz_edges.py
+++ b/tests/test_fuzz_edges.py
@@ -10,13 +10,19 @@
 from platform_rig import configuration, route
 from returns.result import Failure, Success
 
+from limit_fleet import LimitFleet
 from pomelothread.addresses import Address
 from pomelothread.clock import SystemClock
 from pomelothread.gateway.crashes import CrashReporter
 from pomelothread.gateway.events_of_stream import EventSplitter
 from pomelothread.gateway.feeds import KeyedRecord
 from pomelothread.gateway.peer_link import PeerLink
-from pomelothread.gateway.peer_messages import LoadReport, PeerMessage
+from pomelothread.gateway.peer_messages import (
+    LoadReport,
+    PeerMessage,
+    PermitReply,
+    PermitRequest,
+)
 from pomelothread.gateway.peers import PeerTable
 from pomelothread.http1.byte_stream import ByteStream
 from pomelothread.http1.client import (
@@ -185,6 +191,56 @@
     assert not tracker.try_take("club", 1e9, 0.1)
 
 
+ANY_RATE = st.none() | st.floats()
+
+
+@settings(max_examples=200)
+@given(
+    st.lists(
+        st.builds(
+            PermitRequest,
+            st.text(max_size=4),
+            st.sampled_from(["", "10.0.0.9:7600", "nowhere"]),
+            st.just("engine-0"),
+            st.sampled_from([1_000, 2_000]),
+            st.integers(-5, 2**40),
+            st.integers(-(2**40), 2**40),
+            st.floats(),
+            st.integers(-5, 2**40),
+            ANY_RATE,
+            st.floats(),
+        )
+        | st.builds(
+            PermitReply,
+            st.text(max_size=4),
+            st.integers(0, 3),
+            st.just("engine-0"),
+            st.sampled_from([1_000, 2_000]),
+            st.integers(-5, 2**40),
+            ANY_RATE,
+            st.floats(),
+            ANY_RATE,
+            st.floats(),
+        ),
+        max_size=6,
+    )
+)
+def test_no_message_about_permits_stops_a_gateway_or_lifts_a_limit(messages):
+    fleet = LimitFleet(1, [1.9], requests_per_s=10.0)
+    (node,) = fleet.nodes.values()
+    fleet.run(4.0)
+    for message in messages:
+        node.permits.on_message(Address("10.0.0.2", 7600), message)
+        fleet.run(0.05)
+    fleet.run(2.0)
+    (upstream,) = fleet.upstreams.values()
+    limits = {node.upstreams.rate_limit_per_s(upstream.listing().start)}
+    reported = {m.rate_per_s for m in messages if m.started_ms == 1_000}
+    assert limits <= {1.9, *reported}
+    if limits == {1.9} and reported <= {1.9}:
+        assert upstream.excess() <= 0.0
+
+
 REQUEST = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"
 
 
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -1,6 +1,7 @@
 """What upstreams say about the requests that they take, and for how long it holds."""
 
 import logging
+import math
 
 import pytest
 from platform_rig import gateway_rig
@@ -11,6 +12,7 @@
 from pomelothread.policy.departures import UpstreamStart
 from pomelothread.policy.rate_limits import (
     MAX_TRACKED_STARTS,
+    LimitReport,
     NoRateLimit,
     RateLimit,
     RateLimitTracker,
@@ -123,6 +125,56 @@
     assert tracker.rate_per_s(UpstreamStart("engine-1", 1000)) == 1.0
 
 
+def test_a_limit_in_force_is_remembered_longer_than_one_that_has_ended():
+    tracker = RateLimitTracker()
+    for number in range(MAX_TRACKED_STARTS):
+        start = UpstreamStart(f"engine-{number}", 1000)
+        tracker.observe(start, RateLimit(1.0), number, number + 0.1)
+    ended, late_s = UpstreamStart("engine-9", 1000), MAX_TRACKED_STARTS + 1.0
+    tracker.observe(ended, NoRateLimit(), late_s, late_s + 0.1)
+    tracker.observe(UpstreamStart("new", 1000), RateLimit(1.0), late_s, late_s + 0.2)
+    assert tracker.rate_per_s(UpstreamStart("engine-0", 1000)) == 1.0
+    assert tracker.report(ended, late_s) is None
+
+
+# own statement and its time; rate and age in a peer's report at 10 s; limit.
+REPORTS = [
+    (None, 0.0, 2.0, 1.0, 2.0),
+    (None, 0.0, None, 1.0, None),
+    (RateLimit(1.0), 5.0, 2.0, 1.0, 2.0),
+    (RateLimit(1.0), 5.0, 2.0, 6.0, 1.0),
+    (RateLimit(1.0), 5.0, None, 1.0, None),
+    (RateLimit(1.0), 5.0, None, 6.0, 1.0),
+    (RateLimit(1.0), 5.0, -1.0, 1.0, 1.0),
+    (RateLimit(1.0), 5.0, math.nan, 1.0, 1.0),
+    (RateLimit(1.0), 5.0, math.inf, 1.0, 1.0),
+]
+
+
+@pytest.mark.parametrize(("own", "own_s", "rate_per_s", "age_s", "limit"), REPORTS)
+def test_the_newest_statement_of_all_gateways_holds(
+    own, own_s, rate_per_s, age_s, limit
+):
+    tracker = RateLimitTracker()
+    if own is not None:
+        tracker.observe(START, own, own_s, own_s)
+    tracker.merge_reported(LimitReport(START, rate_per_s, age_s), now_s=10.0)
+    assert tracker.rate_per_s(START) == limit
+
+
+def test_a_change_is_reported_once_and_a_reported_one_only_if_it_is_passed_on():
+    tracker = RateLimitTracker()
+    tracker.observe(START, RateLimit(2.0), 0.0, 1.0)
+    (report,) = tracker.take_unreported(4, now_s=3.0)
+    assert report == LimitReport(START, 2.0, 2.0)
+    assert tracker.take_unreported(4, now_s=3.0) == []
+    for passes_on, n_reports in ((False, 0), (True, 1)):
+        rate_per_s = 5.0 + n_reports
+        report = LimitReport(START, rate_per_s, age_s=0.0)
+        tracker.merge_reported(report, 4.0 + n_reports, passes_on)
+        assert len(tracker.take_unreported(4, now_s=6.0)) == n_reports
+
+
 # fault, target, tokens: each kind of response that can name a limit.
 RESPONSES = [
     (UpstreamFault.NONE, "/lookups/", None),
--- a/tools/soak_gateway.py
+++ b/tools/soak_gateway.py
@@ -38,5 +38,5 @@
 if __name__ == "__main__":
     (settings,) = (a for a in sys.argv if a.startswith(SETTINGS_FLAG))
     CuttableLink.cut_path = cut_path(Path(settings.removeprefix(SETTINGS_FLAG)))
-    reports.PeerLink = CuttableLink  # type: ignore[attr-defined, misc]
+    reports.PeerLink = CuttableLink  # type: ignore[attr-defined]
     main()
