Split the exchange of permits by what a reader looks for

The choice is in gateway/coordinator_choice.py and the issuing in gateway/permit_issuing.py now. Permits that were used are counted where a request is sent with one, in the metric of permits, so the counter of limited sends is gone: it also counted the request whose response named the limit first.

--- a/src/pomelothread/gateway/forwarding.py
+++ b/src/pomelothread/gateway/forwarding.py
@@ -186,9 +186,9 @@
             self._metrics.record_attempt(
                 job.service, type(end).__name__, attempt.first_event_s
             )
-            start = lease.upstream.listing.start
-            if attempt.was_sent and self._upstreams.rate_limit_per_s(start) is not None:
-                self._metrics.record_limited_send(start.upstream_id)
+            if attempt.was_sent and lease.permit_until_s is not None:
+                upstream_id = lease.upstream.listing.upstream_id
+                self._metrics.record_permit(upstream_id, "used")
             self._results.record_end(lease, end, sent_s, job, attempt.status)
             step = self._next_step(job, end, responder)
             if not isinstance(end, Delivered):
--- a/src/pomelothread/gateway/metrics.py
+++ b/src/pomelothread/gateway/metrics.py
@@ -50,11 +50,6 @@
         self.limited_upstreams = self._metrics.gauge(
             "gateway_limited_upstreams", "Upstreams that limit the requests they take."
         )
-        self._limited_sends = self._metrics.counter(
-            "gateway_limited_sends_total",
-            "Requests sent to upstreams while they limited them.",
-            "upstream",
-        )
         self._permits = self._metrics.counter(
             "gateway_permits_total",
             "Permits for requests to limited upstreams by event.",
@@ -79,10 +74,6 @@
         """Record how long a request waited before it was sent."""
         self._wait.labels(service).observe(waited_s)
 
-    def record_limited_send(self, upstream_id: str) -> None:
-        """Count a request that was sent to an upstream that names a limit."""
-        self._limited_sends.labels(upstream_id).add()
-
     def record_permit(self, upstream_id: str, event: str) -> None:
         """Count a permit that was issued, used, returned or is void."""
         self._permits.labels(upstream_id, event).add()
--- a/src/pomelothread/gateway/permits.py
+++ b/src/pomelothread/gateway/permits.py
@@ -1,4 +1,4 @@
-"""Asks for permits, and issues them for the upstreams that this gateway coordinates."""
+"""Asks for permits, and exchanges messages about them with the other gateways."""
 
 import asyncio
 import logging
@@ -11,29 +11,21 @@
 from ..clock import Clock
 from ..events import Event, log_event
 from ..policy.cells import name_hash
-from ..policy.coordinators import (
-    RelayChoice,
-    Steadiness,
-    choose_coordinator,
-    home_cell,
-)
 from ..policy.departures import UpstreamStart
 from ..policy.permits import (
     MAX_WANTED,
     MIN_HOLD_OFF_S,
-    AskPace,
     Forecast,
-    PermitIssuer,
     PermitStock,
     Question,
-    issue_rate_per_s,
 )
 from ..policy.rate_limits import LimitReport
 from ..policy.upstream_choice import has_capacity
+from .coordinator_choice import CoordinatorChoice
 from .limit_log import log_limit_change
 from .metrics import GatewayMetrics
 from .peer_messages import PermitReply, PermitRequest
-from .peers import FORGET_AFTER_S, PeerTable
+from .permit_issuing import PermitCoordinator
 from .queue import Shortage, UpstreamQueue
 from .upstreams import Upstream, UpstreamTable
 
@@ -48,7 +40,7 @@
 
 
 class PermitExchange:
-    """Exchanges permits with the other gateways.
+    """Gets permits for waiting requests, and issues them as a coordinator.
 
     Parameters
     ----------
@@ -58,8 +50,8 @@
         Limits of upstreams, and the permits for them.
     queue : UpstreamQueue
         Reports shortages, and assigns slots when permits arrive.
-    peers : PeerTable
-        The other gateways.
+    choice : CoordinatorChoice
+        Finds the coordinators of upstreams.
     metrics : GatewayMetrics
         Counts permits.
     clock : Clock
@@ -71,40 +63,27 @@
         incarnation: str,
         upstreams: UpstreamTable,
         queue: UpstreamQueue,
-        peers: PeerTable,
+        choice: CoordinatorChoice,
         metrics: GatewayMetrics,
         clock: Clock,
     ) -> None:
         self._incarnation = incarnation
         self._upstreams = upstreams
         self._queue = queue
-        self._peers = peers
+        self._choice = choice
         self._metrics = metrics
         self._clock = clock
-        self._started_s = clock.monotonic_s()
-        self._steadiness = Steadiness(self._started_s)
-        self._relays = RelayChoice()
-        self._issuers: dict[UpstreamStart, PermitIssuer] = {}
-        self._pace = AskPace()
+        self._coordinator = PermitCoordinator(
+            upstreams.rate_limits, choice, self._deliver
+        )
         self._sequence = 0
         # Incarnation and sequence number of the last replies, oldest first.
         self._received: OrderedDict[tuple[str, int], None] = OrderedDict()
         self._asks_changed = asyncio.Event()
-        self.is_draining = False
         # Sends a message to a peer, without waiting; set by the reporter.
         self.send: Callable[[PermitRequest | PermitReply, Address], None] = _not_sent
         queue.on_shortage = self.request
 
-    def steady_s(self) -> float:
-        """Return the seconds for which this gateway has been fit to coordinate."""
-        now_s = self._clock.monotonic_s()
-        self._update(now_s)
-        return 0.0 if self.is_draining else self._steadiness.steady_s(now_s)
-
-    def interrupt(self) -> None:
-        """Stop coordinating until the other gateways know this one again."""
-        self._steadiness.interrupt(self._clock.monotonic_s())
-
     async def run(self) -> None:
         """Issue permits when they are due, until cancelled."""
         while True:
@@ -120,6 +99,11 @@
                 # A permit may be due, and a freeze of this process is looked for.
                 continue
 
+    def issue_due(self) -> float | None:
+        """Issue the permits that are due; return the time of the next, if any."""
+        self._choice.update()
+        return self._coordinator.issue_due(self._clock.monotonic_s())
+
     def request(self, shortage: Shortage) -> None:
         """Ask for permits for waiting requests, or withdraw the question.
 
@@ -141,7 +125,7 @@
                 n_wanted = max(0, n_waiting - stock.n_usable(now_s))
             if stock.must_ask(n_wanted, now_s):
                 question = Question(
-                    str(self._peers.own_address),
+                    str(self._choice.own_address),
                     n_wanted,
                     shortage.urgency,
                     shortage.max_wait_s(now_s),
@@ -161,7 +145,7 @@
         def order(upstream: Upstream) -> tuple[float, int]:
             assert upstream.permits is not None
             # The hash spreads the gateways over upstreams without a forecast.
-            name = f"{self._peers.own_address} {upstream.listing.upstream_id}"
+            name = f"{self._choice.own_address} {upstream.listing.upstream_id}"
             return upstream.permits.available_from_s(now_s), name_hash(name)
 
         return sorted(fit, key=order)[:MAX_ASKED_UPSTREAMS]
@@ -173,23 +157,30 @@
         question: Question,
         now_s: float,
     ) -> None:
-        self._update(now_s)
-        coordinator = self._coordinator(start.upstream_id, now_s)
+        self._choice.update()
+        coordinator = self._choice.find(start.upstream_id)
         if coordinator is None:
             # After a start of the whole fleet, all gateways settle at the same time.
-            wait_s = self._steadiness.settles_in_s(now_s)
+            wait_s = self._choice.settles_in_s()
             stock.record_forecast(Forecast(wait_s, MIN_HOLD_OFF_S), now_s)
             return
         stock.record_ask(question.n_wanted, now_s)
-        if coordinator == self._peers.own_address:
-            forecast = self._record_ask(start, question, now_s)
+        if coordinator == self._choice.own_address:
+            forecast = self._record_question(start, question, now_s)
             if forecast is not None:
                 stock.record_forecast(forecast, now_s)
             return
         if question.n_wanted:
-            self._relays.record_ask(start.upstream_id, str(coordinator), now_s)
+            relays = self._choice.relays
+            relays.record_ask(start.upstream_id, str(coordinator), now_s)
         self._send_request(start, coordinator, question, now_s)
 
+    def _record_question(
+        self, start: UpstreamStart, question: Question, now_s: float
+    ) -> Forecast | None:
+        self._asks_changed.set()
+        return self._coordinator.record(start, question, now_s)
+
     def _send_request(
         self,
         start: UpstreamStart,
@@ -211,14 +202,14 @@
             round(question.max_wait_s, 3),
             n_returned,
             limit.rate_per_s,
-            limit.age_s,
+            round(limit.age_s, 3),
         )
         self.send(message, coordinator)
 
     def on_message(self, sender: Address, message: PermitRequest | PermitReply) -> None:
         """Process a message about permits."""
         now_s = self._clock.monotonic_s()
-        self._update(now_s)
+        self._choice.update()
         start = UpstreamStart(message.upstream_id, message.started_ms)
         report = LimitReport(start, message.rate_per_s, message.limit_age_s)
         change = self._upstreams.merge_rate_limit(report, now_s, passes_on=True)
@@ -237,8 +228,9 @@
         message: PermitRequest,
         now_s: float,
     ) -> None:
-        coordinator = self._coordinator(start.upstream_id, now_s)
-        if coordinator != self._peers.own_address:
+        coordinator = self._choice.find(start.upstream_id)
+        if coordinator != self._choice.own_address:
+            # A message is passed on once, so that it ends when views differ.
             if coordinator is not None and not message.gateway:
                 self.send(replace(message, gateway=str(sender)), coordinator)
             return
@@ -251,78 +243,20 @@
                 detail=f"{message.gateway[:40]!r} is not an address",
             )
             return
-        if message.n_returned > 0 and start in self._issuers:
-            self._issuers[start].give_back(min(message.n_returned, MAX_WANTED))
+        self._coordinator.give_back(start, min(message.n_returned, MAX_WANTED))
         question = Question(
             str(gateway), message.n_wanted, message.urgency, message.max_wait_s
         )
-        forecast = self._record_ask(start, question, now_s)
+        forecast = self._record_question(start, question, now_s)
         if question.n_wanted > 0:
             self._reply(start, gateway, 0, forecast, now_s)
 
-    def _record_ask(
-        self, start: UpstreamStart, question: Question, now_s: float
-    ) -> Forecast | None:
-        """Record a question at this coordinator; return None if there is no limit."""
-        rate_per_s = self._issue_rate_per_s(start)
-        if rate_per_s is None:
-            return None
-        issuer = self._issuers.get(start)
-        if issuer is None:
-            issuer = self._issuers[start] = PermitIssuer(now_s)
-            log_event(
-                _log,
-                Event.PERMITS_COORDINATED,
-                upstream=start.upstream_id,
-                rate_per_s=self._upstreams.rate_limit_per_s(start),
-                share=round(self._steadiness.share, 3),
-                n_gateways=len(self._peers) + 1,
-            )
-        wait_s = issuer.ask(question, rate_per_s, now_s)
-        self._asks_changed.set()
-        self._pace.record(f"{start.upstream_id} {question.gateway}", now_s)
-        if wait_s <= question.max_wait_s:
-            return Forecast(wait_s)
-        return Forecast(wait_s, self._pace.hold_off_s(now_s))
-
-    def issue_due(self) -> float | None:
-        """Issue the permits that are due.
-
-        Returns
-        -------
-        float or None
-            Monotonic time of the next one; None if no gateway waits.
-        """
+    def _deliver(self, start: UpstreamStart, gateway: Address) -> None:
+        """Hand a permit of this coordinator to a gateway."""
         now_s = self._clock.monotonic_s()
-        self._update(now_s)
-        next_s = []
-        for start, issuer in list(self._issuers.items()):
-            rate_per_s = self._issue_rate_per_s(start)
-            coordinator = self._coordinator(start.upstream_id, now_s)
-            if rate_per_s is None or coordinator != self._peers.own_address:
-                del self._issuers[start]
-                log_event(
-                    _log,
-                    Event.PERMITS_NOT_COORDINATED,
-                    upstream=start.upstream_id,
-                    coordinator=coordinator,
-                )
-                continue
-            for name in issuer.issue(rate_per_s, now_s):
-                self._issue(start, issuer, name, now_s)
-            due_s = issuer.next_due_s(rate_per_s)
-            if due_s is not None:
-                next_s.append(due_s)
-        return min(next_s, default=None)
-
-    def _issue(
-        self, start: UpstreamStart, issuer: PermitIssuer, name: str, now_s: float
-    ) -> None:
         self._metrics.record_permit(start.upstream_id, "issued")
-        gateway = parse_address(name)
-        assert gateway is not None
-        if gateway == self._peers.own_address:
-            issuer.give_back(self._receive(start, 1, now_s))
+        if gateway == self._choice.own_address:
+            self._coordinator.give_back(start, self._receive(start, 1, now_s))
             return
         self._reply(start, gateway, 1, None, now_s)
 
@@ -347,35 +281,36 @@
             round(forecast.wait_s, 3) if forecast is not None else None,
             round(forecast.hold_off_s, 3) if forecast is not None else 0.0,
             limit.rate_per_s,
-            limit.age_s,
+            round(limit.age_s, 3),
         )
         self.send(message, gateway)
 
     def _on_reply(
         self, start: UpstreamStart, sender: Address, message: PermitReply, now_s: float
     ) -> None:
-        self._relays.record_reply(start.upstream_id)
-        identity = (message.incarnation, message.sequence)
-        if identity in self._received:
-            # A datagram that arrives twice must not bring its permits twice.
+        self._choice.relays.record_reply(start.upstream_id)
+        if self._is_repeated(message):
             return
-        self._received[identity] = None
-        if len(self._received) > MAX_REMEMBERED_REPLIES:
-            self._received.popitem(last=False)
         upstream = self._upstreams.get(start.upstream_id)
-        if (
-            message.wait_s is not None
-            and upstream is not None
-            and upstream.permits is not None
-        ):
-            forecast = Forecast(message.wait_s, message.hold_off_s)
-            upstream.permits.record_forecast(forecast, now_s)
+        stock = upstream.permits if upstream is not None else None
+        if message.wait_s is not None and stock is not None:
+            stock.record_forecast(Forecast(message.wait_s, message.hold_off_s), now_s)
         if message.n_issued > 0:
             n_unused = self._receive(start, min(message.n_issued, MAX_WANTED), now_s)
             if n_unused:
-                no_question = Question(str(self._peers.own_address), 0, 0, 0.0)
+                no_question = Question(str(self._choice.own_address), 0, 0, 0.0)
                 self._send_request(start, sender, no_question, now_s, n_unused)
 
+    def _is_repeated(self, message: PermitReply) -> bool:
+        """Return whether the network has delivered a reply before."""
+        identity = (message.incarnation, message.sequence)
+        if identity in self._received:
+            return True
+        self._received[identity] = None
+        if len(self._received) > MAX_REMEMBERED_REPLIES:
+            self._received.popitem(last=False)
+        return False
+
     def _receive(self, start: UpstreamStart, n_issued: int, now_s: float) -> int:
         """Use permits that were issued to this gateway; return how many it does not."""
         upstream = self._upstreams.get(start.upstream_id)
@@ -396,34 +331,6 @@
             self._metrics.record_permit(start.upstream_id, "returned")
         return n_unused
 
-    def _issue_rate_per_s(self, start: UpstreamStart) -> float | None:
-        """Return the rate at which this gateway may issue permits, or None."""
-        rate_per_s = self._upstreams.rate_limit_per_s(start)
-        if rate_per_s is None:
-            return None
-        return issue_rate_per_s(rate_per_s, self._steadiness.share)
-
-    def _coordinator(self, upstream_id: str, now_s: float) -> Address | None:
-        """Return the gateway to ask for permits, or the own address."""
-        own = self._peers.own_address
-        home = home_cell(upstream_id, self._peers.n_cells)
-        if home != self._peers.cell:
-            names = map(str, self._peers.alive_in(home))
-            relay = self._relays.choose(upstream_id, names, now_s)
-            return parse_address(relay) if relay is not None else None
-        gateways = [] if self._steadiness.is_isolated else self._peers.settled()
-        is_needed = not gateways or not self.is_draining
-        if is_needed and self._steadiness.is_settled(now_s):
-            gateways.append(own)
-        chosen = choose_coordinator(upstream_id, map(str, gateways))
-        return parse_address(chosen) if chosen is not None else None
-
-    def _update(self, now_s: float) -> None:
-        # Seeds that never sent a message do not exist any more.
-        counts_unheard = now_s - self._started_s < FORGET_AFTER_S
-        n_heard, n_known = self._peers.count_own_cell(counts_unheard)
-        self._steadiness.update(n_heard, n_known, now_s)
-
 
 def _not_sent(message: PermitRequest | PermitReply, address: Address) -> None:
     """Drop messages before the process listens to its peers."""
--- a/src/pomelothread/gateway/process.py
+++ b/src/pomelothread/gateway/process.py
@@ -26,6 +26,7 @@
 from ..policy.store_calls import call_times
 from .admission import Admission
 from .configuration import Configuration
+from .coordinator_choice import CoordinatorChoice
 from .crashes import CRASH_FEED_POLL_S, CrashReporter
 from .feeds import (
     CONFIGURATION_DUE_SHARES,
@@ -131,11 +132,12 @@
             clock,
             random_source,
         )
+        self._coordinators = CoordinatorChoice(self._peers, clock)
         self._permits = PermitExchange(
             self._incarnation,
             self._upstreams,
             self._queue,
-            self._peers,
+            self._coordinators,
             self.metrics,
             clock,
         )
@@ -150,7 +152,7 @@
             clock,
             random_source,
         )
-        self._reporter.share_permits(self._permits)
+        self._reporter.share_permits(self._permits, self._coordinators)
         self._configuration_watch = FeedWatch(
             _reading_times(CONFIGURATION_DUE_SHARES, settings.configuration_bound_s)
         )
@@ -430,7 +432,7 @@
         """Report not ready, accept requests for a while, finish them, then close."""
         started_s = self._clock.monotonic_s()
         self._state.is_draining = True
-        self._permits.is_draining = True
+        self._coordinators.is_draining = True
         self._reporter.report_soon()
         log_event(
             _log,
--- a/src/pomelothread/gateway/reports.py
+++ b/src/pomelothread/gateway/reports.py
@@ -14,6 +14,7 @@
 from ..policy.feed_sharing import FeedReport, FeedWatch
 from ..policy.quotas import QuotaTracker
 from ..policy.rate_limits import LimitReport
+from .coordinator_choice import CoordinatorChoice
 from .crashes import CrashReporter
 from .limit_log import log_limit_change
 from .peer_link import PeerLink
@@ -103,7 +104,7 @@
         self._last_heartbeat_s = -HEARTBEAT_S
         self._heartbeat_due_s = 0.0
         self._feeds: tuple[tuple[FeedWatch, Callable[[], None]], ...] = ()
-        self._permits: PermitExchange | None = None
+        self._coordinators: CoordinatorChoice | None = None
         self.link = PeerLink(peers, self.on_message, self.on_gossip)
 
     def share_feeds(self, *feeds: tuple[FeedWatch, Callable[[], None]]) -> None:
@@ -116,9 +117,19 @@
         """
         self._feeds = feeds
 
-    def share_permits(self, permits: PermitExchange) -> None:
-        """Exchange permits of upstreams that name a limit with peers."""
-        self._permits = permits
+    def share_permits(
+        self, permits: PermitExchange, coordinators: CoordinatorChoice
+    ) -> None:
+        """Exchange permits of upstreams that name a limit with peers.
+
+        Parameters
+        ----------
+        permits : PermitExchange
+            Sends and receives the messages about permits.
+        coordinators : CoordinatorChoice
+            Tells peers for how long this gateway has been fit to coordinate.
+        """
+        self._coordinators = coordinators
         permits.send = self.link.send_permits
         self.link.on_permits = permits.on_message
 
@@ -211,7 +222,7 @@
                 (*astuple(limit.start), limit.rate_per_s, round(limit.age_s, 3))
                 for limit in limits
             ],
-            self._permits.steady_s() if is_heartbeat and self._permits else None,
+            self._steady_s() if is_heartbeat else None,
         )
 
     def _some_limits(self, now_s: float) -> list[LimitReport]:
@@ -227,6 +238,9 @@
         n_more = min(len(starts), MAX_LIMITS - len(limits))
         return limits + tracker.reports(self._random.sample(starts, n_more), now_s)
 
+    def _steady_s(self) -> float | None:
+        return self._coordinators.steady_s() if self._coordinators else None
+
     def _has_news(self) -> bool:
         return any(watch.has_unsent_report for watch, _ in self._feeds)
 
@@ -333,8 +347,8 @@
         self._upstreams.set_cell(self._peers.cell, self._peers.division.sizes)
         if n_cells == n_cells_before:
             return
-        if self._permits is not None:
-            self._permits.interrupt()
+        if self._coordinators is not None:
+            self._coordinators.interrupt()
         self._quotas.set_cells(n_cells)
         for peer in self._peers.all():
             if not self._peers.is_in_own_cell(peer):
--- a/tests/test_limit_fleet.py
+++ b/tests/test_limit_fleet.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from limit_fleet import LimitFleet, max_in_window
-from pomelothread.gateway.permits import PermitExchange
+from pomelothread.gateway.coordinator_choice import CoordinatorChoice
 
 # Share of the limit that callers get while they send more than that, without faults.
 MIN_SHARE = 0.8
@@ -132,7 +132,7 @@
 
 def begin_stop(fleet, number, for_s):
     if number in fleet.nodes:
-        fleet.nodes[number].permits.is_draining = True
+        fleet.nodes[number].coordinators.is_draining = True
         fleet.nodes[number].reporter.report_soon()
 
 
@@ -176,7 +176,7 @@
 
 def test_the_simulation_detects_gateways_that_each_keep_the_limit(monkeypatch):
     monkeypatch.setattr(
-        PermitExchange, "_coordinator", lambda self, *_: self._peers.own_address
+        CoordinatorChoice, "find", lambda self, upstream_id: self.own_address
     )
     fleet = LimitFleet(6, [1.9], requests_per_s=5.0)
     fleet.run(12.0)
--- a/tools/limit_fleet.py
+++ b/tools/limit_fleet.py
@@ -16,6 +16,7 @@
 
 from pomelothread.addresses import Address
 from pomelothread.clock import ManualClock
+from pomelothread.gateway.coordinator_choice import CoordinatorChoice
 from pomelothread.gateway.crashes import CrashReporter
 from pomelothread.gateway.metrics import GatewayMetrics
 from pomelothread.gateway.peers import PeerTable
@@ -202,11 +203,12 @@
         queue = cast(UpstreamQueue, self.demand)
         incarnation = f"{number}.{run}"
         tolerance = QuotaTolerance(8.0, 0.1, 0.0)
+        self.coordinators = CoordinatorChoice(self.peers, fleet.clock)
         self.permits = PermitExchange(
             incarnation,
             self.upstreams,
             queue,
-            self.peers,
+            self.coordinators,
             GatewayMetrics(fleet.clock),
             fleet.clock,
         )
@@ -221,7 +223,7 @@
             fleet.clock,
             self.random,
         )
-        self.reporter.share_permits(self.permits)
+        self.reporter.share_permits(self.permits, self.coordinators)
         self.reporter.link.connection_made(cast(Any, _Transport(self)))
         self.told_s: dict[str, float] = {}
         self.next_heartbeat_s = 0.0
