Ask at once after a change of the coordinator of a low limit

Cause: an upstream that takes nothing is asked every 4 s. Its coordinators were killed and cut off one after the other, and each new one began without permits and waited for its first: 3 s until it was fit and 4 s more, 12 s where it was isolated and had a third of the rate. The log shows 849 at 01.7, 03.2 (other gateway) and 07.3 s, and no request to these upstreams since 00.9 s.

Change: a new issuer has one permit if no response of the upstream is known for as long as a permit takes. This adds one request at most to a window in which the coordinator changes.

--- a/src/pomelothread/gateway/permit_issuing.py
+++ b/src/pomelothread/gateway/permit_issuing.py
@@ -53,7 +53,9 @@
             return None
         issuer = self._issuers.get(start)
         if issuer is None:
-            issuer = self._issuers[start] = PermitIssuer(now_s)
+            report = self._limits.report(start, now_s)
+            n_permits = rate_per_s * report.age_s if report is not None else 0.0
+            issuer = self._issuers[start] = PermitIssuer(now_s, n_permits)
             log_event(
                 _log,
                 Event.PERMITS_COORDINATED,
--- a/src/pomelothread/policy/permits.py
+++ b/src/pomelothread/policy/permits.py
@@ -144,17 +144,21 @@
 class PermitIssuer:
     """Permits of one upstream, at its coordinator.
 
-    A new issuer begins without permits, because another gateway may have issued some
-    until now.
+    Another gateway may have issued permits until now, so a new issuer begins with one
+    at most, and only if the upstream has not responded for as long as a permit takes.
+    Without it, the end of a low limit would be noticed late after each change of the
+    coordinator.
 
     Parameters
     ----------
     now_s : float
         Monotonic time.
+    n_permits : float
+        Permits that have accumulated since the last response.
 
     Examples
     --------
-    >>> issuer = PermitIssuer(now_s=0.0)
+    >>> issuer = PermitIssuer(now_s=0.0, n_permits=0.0)
     >>> issuer.ask(Question("gateway-1", 2, 0, max_wait_s=1.0), 2.0, now_s=0.0)
     0.5
     >>> issuer.issue(rate_per_s=2.0, now_s=0.4), issuer.issue(rate_per_s=2.0, now_s=0.6)
@@ -163,8 +167,8 @@
 
     __slots__ = ("_asks", "_n_permits", "_updated_s")
 
-    def __init__(self, now_s: float) -> None:
-        self._n_permits = 0.0
+    def __init__(self, now_s: float, n_permits: float) -> None:
+        self._n_permits = min(1.0, n_permits)
         self._updated_s = now_s
         self._asks: dict[str, _Ask] = {}
 
--- a/tests/test_limit_fleet.py
+++ b/tests/test_limit_fleet.py
@@ -8,6 +8,7 @@
 
 from limit_fleet import LimitFleet, max_in_window
 from pomelothread.gateway.coordinator_choice import CoordinatorChoice
+from pomelothread.gateway.peers import SILENT_AFTER_S
 
 # Share of the limit that callers get while they send more than that, without faults.
 MIN_SHARE = 0.8
@@ -58,6 +59,21 @@
         assert min(shares) >= MIN_SHARE
 
 
+def test_the_end_of_a_limit_is_noticed_soon_after_the_coordinator_was_lost():
+    # Guards against a fault that the soak found: three upstreams that had taken nothing
+    # got no request for 7 s after their need was over, as the new coordinator waited
+    # for its first permit.
+    fleet = LimitFleet(4, [0.0], requests_per_s=5.0)
+    fleet.run(10.0)
+    (upstream,) = fleet.upstreams.values()
+    upstream.rate_per_s = None
+    start = upstream.listing().start
+    coordinator = fleet.nodes[0].coordinators.find(start.upstream_id)
+    fleet.kill(fleet.number_of(coordinator))
+    fleet.run(SILENT_AFTER_S + 1.0)
+    assert {n.upstreams.rate_limit_per_s(start) for n in fleet.nodes.values()} == {None}
+
+
 def test_traffic_at_one_gateway_of_many_gets_the_whole_limit():
     fleet = LimitFleet(13, [1.9], requests_per_s=0.0)
     fleet.nodes[5].requests_per_s = 10.0
--- a/tests/test_policy_permits.py
+++ b/tests/test_policy_permits.py
@@ -52,20 +52,26 @@
 
 
 def test_a_new_issuer_has_no_permits():
-    issuer = PermitIssuer(now_s=100.0)
+    issuer = PermitIssuer(now_s=100.0, n_permits=0.0)
     ask(issuer, "a", now_s=100.0, rate=2.0)
     assert issuer.issue(2.0, now_s=100.4) == []
     assert issuer.issue(2.0, now_s=100.5) == ["a"]
 
 
+def test_a_new_issuer_has_one_permit_if_the_upstream_was_not_asked_for_long():
+    issuer = PermitIssuer(now_s=100.0, n_permits=5.0)
+    ask(issuer, "a", n_wanted=3, now_s=100.0, rate=2.0)
+    assert issuer.issue(2.0, now_s=100.0) == ["a"]
+
+
 def test_permits_that_nobody_asks_for_do_not_accumulate():
-    issuer = PermitIssuer(now_s=0.0)
+    issuer = PermitIssuer(now_s=0.0, n_permits=0.0)
     ask(issuer, "a", n_wanted=8, now_s=500.0, rate=8.0)
     assert len(issuer.issue(8.0, now_s=500.0)) == 1 + int(BURST_S * 8.0)
 
 
 def test_the_most_urgent_gateway_gets_the_next_permit_then_the_first_that_asked():
-    issuer = PermitIssuer(now_s=0.0)
+    issuer = PermitIssuer(now_s=0.0, n_permits=0.0)
     ask(issuer, "early", urgency=1, now_s=0.0)
     ask(issuer, "late", urgency=1, now_s=0.1)
     ask(issuer, "urgent", urgency=0, now_s=0.2)
@@ -77,14 +83,14 @@
 
 
 def test_a_question_replaces_the_last_one_of_its_gateway():
-    issuer = PermitIssuer(now_s=0.0)
+    issuer = PermitIssuer(now_s=0.0, n_permits=0.0)
     ask(issuer, "a", n_wanted=3)
     ask(issuer, "a", n_wanted=0)
     assert issuer.next_due_s(1.0) is None
 
 
 def test_a_gateway_learns_how_long_it_would_wait_and_does_not_queue_in_vain():
-    issuer = PermitIssuer(now_s=0.0)
+    issuer = PermitIssuer(now_s=0.0, n_permits=0.0)
     assert ask(issuer, "a", n_wanted=3, rate=2.0) == 0.5
     assert ask(issuer, "b", rate=2.0, max_wait_s=1.0) == 2.0
     assert ask(issuer, "c", rate=2.0, urgency=-1) == 0.5
@@ -92,13 +98,13 @@
 
 
 def test_a_question_that_is_not_repeated_is_void():
-    issuer = PermitIssuer(now_s=0.0)
+    issuer = PermitIssuer(now_s=0.0, n_permits=0.0)
     ask(issuer, "a", rate=0.5)
     assert issuer.issue(0.5, now_s=ASK_LIFETIME_S + 1.0) == []
 
 
 def test_permits_that_were_given_back_are_issued_again_up_to_the_burst():
-    issuer = PermitIssuer(now_s=0.0)
+    issuer = PermitIssuer(now_s=0.0, n_permits=0.0)
     ask(issuer, "a", now_s=1.0)
     assert issuer.issue(1.0, now_s=1.0) == ["a"]
     issuer.give_back(50)
