Keep the list of the own cell's peers until it changes

Cause: a gateway looked at all peers for each message about permits and each check of its own fitness, which grows with the fleet: at 410 gateways that are 410 hash look-ups each time.

Change: the list is kept until a peer or the division changes.

--- a/src/pomelothread/gateway/peers.py
+++ b/src/pomelothread/gateway/peers.py
@@ -90,6 +90,8 @@
         # without a search through all peers.
         self._loads: dict[str, dict[Address, LoadReport]] = {}
         self.division = Division(clock.monotonic_s())
+        # Peers of the own cell, until a peer or the division changes.
+        self._own_cell_peers: list[Peer] | None = None
 
     def __len__(self) -> int:
         """Return the number of peers that are not silent."""
@@ -115,7 +117,11 @@
 
     def own_cell_peers(self) -> list[Peer]:
         """Return the peers of the own cell."""
-        return [peer for peer in self._peers.values() if self.is_in_own_cell(peer)]
+        if self._own_cell_peers is None:
+            self._own_cell_peers = [
+                peer for peer in self._peers.values() if self.is_in_own_cell(peer)
+            ]
+        return self._own_cell_peers
 
     def count_own_cell(self, counts_unheard: bool) -> tuple[int, int]:
         """Return how many gateways of the own cell are heard, and how many are known.
@@ -154,13 +160,19 @@
     def divide(self) -> bool:
         """Update the division from the live peers; return whether it changed."""
         hosts = [peer.address.host for peer in self.alive()]
-        return self.division.update(
+        has_changed = self.division.update(
             [self.own_address.host, *hosts], self._clock.monotonic_s()
         )
+        if has_changed:
+            self._own_cell_peers = None
+        return has_changed
 
     def receive_division(self, sizes: list[int]) -> bool:
         """Receive the division of a peer; return whether the own one has changed."""
-        return self.division.adopt_reported(sizes, self._clock.monotonic_s())
+        has_changed = self.division.adopt_reported(sizes, self._clock.monotonic_s())
+        if has_changed:
+            self._own_cell_peers = None
+        return has_changed
 
     def representatives(self) -> dict[int, Address]:
         """Return, for each cell, the gateway that reports for it to other cells.
@@ -201,6 +213,7 @@
             if len(self._peers) >= MAX_PEERS:
                 return
             peer = self._peers[address] = Peer(address, last_message_s=now_s)
+            self._own_cell_peers = None
         if age_s is not None:
             peer.last_alive_s = max(peer.last_alive_s or 0.0, now_s - age_s)
 
@@ -262,6 +275,7 @@
             if unheard_s > FORGET_AFTER_S:
                 self._forget_loads(peer)
                 del self._peers[address]
+                self._own_cell_peers = None
             elif silent_s > SILENT_AFTER_S and not peer.is_silent:
                 peer.is_silent = True
                 self._forget_loads(peer)
