--- a/src/pomelothread/policy/permits.py
+++ b/src/pomelothread/policy/permits.py
@@ -34,8 +34,7 @@
 ASK_LIFETIME_S = 1.2
 # A gateway whose requests cannot wait for a permit asks again after this time. If many
 # gateways ask, the time is longer, so that a coordinator gets no more than
-# `MAX_ASKS_PER_S`: with its replies they take half of the bytes that a gateway may
-# spend for control.
+# `MAX_ASKS_PER_S`; its answers take a third of the bytes that it may spend for control.
 MIN_HOLD_OFF_S = 0.5
 MAX_HOLD_OFF_S = 10.0
 MAX_ASKS_PER_S = 30.0
