Log which shared prompt parts a request holds that is cut at an upstream

The adapter reads the ids of all parts but the last; event 861 names them for each request that loses its upstream, with the time since its first event.

No decision has changed.

--- a/src/pomelothread/events.py
+++ b/src/pomelothread/events.py
@@ -275,6 +275,13 @@
         "crash of request body %(fingerprint)s could not be written to the store; "
         "only gateways that run now know of it",
     )
+    RUNNING_REQUEST_CUT = (
+        861,
+        logging.WARNING,
+        "connection to upstream %(upstream)s was lost while it ran request "
+        "%(request_id)s with the shared prompt parts %(parts)s; time since its first "
+        "event: %(since_first_event_s)s s",
+    )
     QUOTAS_RESTORED = (
         817,
         logging.INFO,
--- a/src/pomelothread/gateway/dialect.py
+++ b/src/pomelothread/gateway/dialect.py
@@ -9,6 +9,8 @@
 # Token counts of callers are capped at this value. It is beyond every quota, and a
 # sum of several still fits into the messages between gateways.
 MAX_TOKENS = 10**12
+# Prompts with more parts count as prompts without any.
+MAX_PROMPT_PARTS = 64
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,6 +37,9 @@
         Whether token counts are stated.
     last_event_id : int or None
         Id of the last event of the stream that the caller has received.
+    shared_parts : tuple of str
+        Ids of the parts of the prompt that other requests may share, in order; the
+        last part of a prompt is the request's own and is not among them.
     """
 
     request_id: bytes | None
@@ -46,6 +51,7 @@
     n_output_tokens: int
     has_token_counts: bool
     last_event_id: int | None
+    shared_parts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pomelothread/gateway/forwarding.py
+++ b/src/pomelothread/gateway/forwarding.py
@@ -189,7 +189,9 @@
             if attempt.was_sent and lease.permit_until_s is not None:
                 upstream_id = lease.upstream.listing.upstream_id
                 self._metrics.record_permit(upstream_id, "used")
-            self._results.record_end(lease, end, sent_s, job, attempt.status)
+            self._results.record_end(
+                lease, end, sent_s, job, attempt.status, attempt.first_event_s
+            )
             step = self._next_step(job, end, responder)
             if not isinstance(end, Delivered):
                 self._log_failure(job, lease, end, step, sent_s, attempt.status)
--- a/src/pomelothread/gateway/upstream_results.py
+++ b/src/pomelothread/gateway/upstream_results.py
@@ -66,7 +66,13 @@
         self.n_probes = 0
 
     def record_end(
-        self, lease: Lease, end: AttemptEnd, sent_s: float, job: Job, status: int
+        self,
+        lease: Lease,
+        end: AttemptEnd,
+        sent_s: float,
+        job: Job,
+        status: int,
+        first_event_s: float | None,
     ) -> None:
         """Record the result of an attempt.
 
@@ -82,6 +88,8 @@
             The request.
         status : int
             Status code of the response, or 0 without one.
+        first_event_s : float or None
+            Seconds from `sent_s` to the first event of the response; None without one.
         """
         upstream, now_s = lease.upstream, self._clock.monotonic_s()
         match end:
@@ -99,7 +107,10 @@
                 )
                 begins_rest = upstream.health.observe_failure(now_s, is_certain=True)
             case Broken(was_cut=True):
-                self._record_cut_and_start_probe(job, lease, now_s)
+                since_first_s = None
+                if first_event_s is not None:
+                    since_first_s = now_s - sent_s - first_event_s
+                self._record_cut_and_start_probe(job, lease, now_s, since_first_s)
                 begins_rest = self._observe_failure(upstream, now_s)
             case FailedResponse() if status == GATEWAY_TIMEOUT:
                 # The upstream exceeded the time limit. This does not count as a
@@ -128,9 +139,19 @@
         )
         return upstream.health.observe_failure(now_s, others_share=others_share)
 
-    def _record_cut_and_start_probe(self, job: Job, lease: Lease, now_s: float) -> None:
+    def _record_cut_and_start_probe(
+        self, job: Job, lease: Lease, now_s: float, since_first_s: float | None
+    ) -> None:
         """Record a lost connection, and probe whether the upstream has crashed."""
         listing = lease.upstream.listing
+        log_event(
+            _log,
+            Event.RUNNING_REQUEST_CUT,
+            upstream=listing.upstream_id,
+            request_id=job.request_id,
+            parts=",".join(job.facts.shared_parts),
+            since_first_event_s=since_first_s and round(since_first_s, 3),
+        )
         self._crash_guard.record_cut(job.fingerprint, listing.upstream_id, now_s)
         self._state.start(self._probe(listing))
 
--- a/src/pomelothread/platform/headers.py
+++ b/src/pomelothread/platform/headers.py
@@ -1,6 +1,13 @@
 """Translates the platform's HTTP headers to and from the gateway's types."""
 
-from ..gateway.dialect import MAX_TOKENS, CallerFacts, ResponseFacts
+import re
+
+from ..gateway.dialect import (
+    MAX_PROMPT_PARTS,
+    MAX_TOKENS,
+    CallerFacts,
+    ResponseFacts,
+)
 from ..http1.messages import (
     Headers,
     Request,
@@ -18,6 +25,8 @@
 _ORGANISATION = b"x-tenant"
 # Prompt tokens and maximum output tokens, separated by a comma.
 _TOKENS = b"x-token-usage"
+# Parts of the prompt in order, as ID:TOKENS entries separated by commas.
+_PROMPT_PARTS = b"x-prompt-prefix"
 _LAST_EVENT_ID = b"last-event-id"
 _EXPECTED_UPSTREAM = b"x-expect-instance"
 # Set by an upstream that has not run the request.
@@ -33,6 +42,9 @@
 # On a 503 of a server: how long this machine must send it nothing.
 _UPSTREAM_RETRY_AFTER = b"retry-after"
 
+# Ids have up to 128 bits.
+_PROMPT_PART = re.compile(rb"([0-9a-fA-F]{1,32})\s*:\s*\d{1,18}")
+
 # The platform knows only 429, 503, 408 and 421 as refusals of a valid request.
 _STATUS_OVERRIDES = {Reason.CONVICTED: 503}
 
@@ -73,6 +85,7 @@
             n_output_tokens=tokens[1] if tokens else 0,
             has_token_counts=tokens is not None,
             last_event_id=None if last_event_id is None else int(last_event_id),
+            shared_parts=_parse_parts(header_values(headers, _PROMPT_PARTS))[:-1],
         )
 
     def make_upstream_request(
@@ -139,6 +152,23 @@
         return status, tuple(headers), problem.body
 
 
+def _parse_parts(lines: tuple[bytes, ...]) -> tuple[str, ...]:
+    """Return the ids of a prompt's parts; nothing if any entry is malformed."""
+    if not lines:
+        return ()
+    entries = b",".join(lines).split(b",")
+    if len(entries) > MAX_PROMPT_PARTS:
+        return ()
+    ids = []
+    for entry in entries:
+        match = _PROMPT_PART.fullmatch(entry.strip())
+        if match is None:
+            return ()
+        # The same id may be written with other letters or leading zeros.
+        ids.append(f"{int(match[1], 16):x}")
+    return tuple(ids)
+
+
 def _parse_pair(value: bytes | None) -> tuple[int, int] | None:
     if value is None:
         return None
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -205,6 +205,47 @@
     assert facts.path == "/a"
 
 
+@pytest.mark.parametrize(
+    ("lines", "shared_parts"),
+    [
+        ((), ()),
+        ((b"5c1e07a2:800,91bd3f06:410,e4402b7d:250",), ("5c1e07a2", "91bd3f06")),
+        ((b"5c1e07a2:800 , 91bd3f06 :410,\te4402b7d:250",), ("5c1e07a2", "91bd3f06")),
+        ((b"5C1E07A2:800,e4402b7d:250",), ("5c1e07a2",)),
+        ((b"005c1e07a2:800,e4402b7d:250",), ("5c1e07a2",)),
+        ((b"a:1,b:2", b"c:3"), ("a", "b")),
+        ((b"a:0,b:0",), ("a",)),
+        ((b"a:1,a:1,a:1",), ("a", "a")),
+        # A prompt whose only part is its own.
+        ((b"e4402b7d:250",), ()),
+        # Values that cannot be read.
+        ((b"",), ()),
+        ((b",",), ()),
+        ((b"a:1,,b:2",), ()),
+        ((b"a:1,b",), ()),
+        ((b"a,b:2",), ()),
+        ((b":1,b:2",), ()),
+        ((b"a:1,b:2,",), ()),
+        ((b"a:-1,b:2",), ()),
+        ((b"a:1.5,b:2",), ()),
+        ((b"a:1e3,b:2",), ()),
+        ((b"a:1:1,b:2",), ()),
+        ((b"0xa:1,b:2",), ()),
+        ((b"system:1,b:2",), ()),
+        ((b"\xff\xfe:1,b:2",), ()),
+        ((b"f" * 33 + b":1,b:2",), ()),
+        ((b"a:" + b"9" * 19 + b",b:2",), ()),
+        ((b",".join([b"a:1"] * 65),), ()),
+    ],
+)
+def test_parts_of_a_prompt_that_others_may_share_are_read_or_ignored(
+    lines, shared_parts
+):
+    headers = tuple((b"x-prompt-prefix", line) for line in lines)
+    request = Request(b"POST", b"/x", headers, b"")
+    assert PlatformDialect().read_request(request).shared_parts == shared_parts
+
+
 @pytest.mark.parametrize(
     ("status", "headers", "genuine", "not_run"),
     [
