--- a/tools/standins/platform.py
+++ b/tools/standins/platform.py
@@ -82,11 +82,19 @@
     def __init__(self, handle: CallHandler) -> None:
         super().__init__()
         self._handle = handle
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    def crash(self) -> None:
+        """Refuse new connections and reset all open ones."""
+        self.stop_listening()
+        for writer in self._writers:
+            reset_connection(writer)
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         protocol = h11.Connection(h11.SERVER)
+        self._writers.add(writer)
         try:
             while (call := await _read_call(protocol, reader, writer)) is not None:
                 await self._handle(call)
@@ -97,6 +105,7 @@
             # Tests include callers that disconnect in the middle of an exchange.
             return
         finally:
+            self._writers.discard(writer)
             writer.close()
 
 
@@ -320,6 +329,10 @@
         self.fault = UpstreamFault.NONE
         # Headers added to all its responses, such as the one that says it is leaving.
         self.extra_headers: dict[str, str] = {}
+        # Parts of prompts that crash it as it begins to respond, whatever else the
+        # prompt contains.
+        self.crashing_parts: frozenset[str] = frozenset()
+        self.n_crashes = 0
         self.started_ms = 1_700_000_000_000
         self.executed_calls: list[Call] = []
         # All requests that were meant for it, with those that it rejects.
@@ -357,8 +370,22 @@
             await call.respond(503, headers=not_run | self.extra_headers)
             return
         self.executed_calls.append(call)
+        if shared_parts(call) & self.crashing_parts:
+            await self.may_answer.wait()
+            self.crash()
+            return
         await self._run(call)
 
+    def crash(self) -> None:
+        """End as a process that crashes: all connections are reset."""
+        self.n_crashes += 1
+        self.http.crash()
+
+    async def restart(self) -> None:
+        """Start again at the same address, as a new start of the same upstream."""
+        self.started_ms += 1
+        await self.http.start(self.http.port)
+
     async def _run(self, call: Call) -> None:
         response_headers = {
             "X-Attempt-Id": call.headers.get("x-attempt-id", ""),
@@ -453,6 +480,12 @@
         call.writer.close()
 
 
+def shared_parts(call: Call) -> frozenset[str]:
+    """Return the parts of a prompt that other requests may share: all but the last."""
+    entries = call.headers.get("x-prompt-prefix", "").split(",")
+    return frozenset(entry.partition(":")[0] for entry in entries[:-1])
+
+
 def _extra_response() -> bytes:
     return (
         b"HTTP/1.1 200 OK\r\nX-Attempt-Id: another\r\n"
