Refuse parts of prompts that crash upstreams, in the whole fleet

Cause: a request that crashes upstreams was known by method, target, body and organisation. Requests of this kind have bodies of their own, so no count went beyond the tries of one of them. The class: what is shared by several requests had no identity of its own in the decision.

Ruled out: crashes that are seen but not joined (one gateway failed as well as two), and a decision that comes too late (no decision was ever made; event 815 never showed a third crash of a body).

policy/crashing_parts decides from the evidence of all gateways. A part is a suspect if an upstream crashed before it had clearly begun to respond; a later response clears it everywhere; crashes that a refused part explains are no evidence against others. Evidence goes to peers at once, repeated in heartbeats and gossip, and to the store if nobody refutes it. Requests with a part that is about to be refused wait a quarter of a second for the reports of peers; then they are answered 503 without a charge on a quota. A cut request with an untested part is not repeated if its upstream has crashed. One gateway tries a refused part again, later after each crash.

--- a/src/pomelothread/events.py
+++ b/src/pomelothread/events.py
@@ -282,6 +282,37 @@
         "%(request_id)s with the shared prompt parts %(parts)s; time since its first "
         "event: %(since_first_event_s)s s",
     )
+    PROMPT_PART_SUSPECTED = (
+        862,
+        logging.WARNING,
+        "upstream %(upstream)s crashed before it responded to a request with prompt "
+        "part %(part)s, crash %(n_crashes)s of this part; known to have been sound: "
+        "%(was_sound)s",
+    )
+    PROMPT_PART_REFUSED = (
+        863,
+        logging.ERROR,
+        "requests with prompt part %(part)s are refused: %(n_crashes)s crashes of "
+        "%(upstreams)s",
+    )
+    PROMPT_PART_ALLOWED = (
+        864,
+        logging.INFO,
+        "requests with prompt part %(part)s are sent again: the part is sound, or its "
+        "evidence has expired",
+    )
+    PART_CRASH_NOT_STORED = (
+        865,
+        logging.WARNING,
+        "evidence about prompt part %(part)s at upstream %(upstream)s could not be "
+        "written to the store; only gateways that run now know of it",
+    )
+    PROMPT_PART_TRIED = (
+        866,
+        logging.WARNING,
+        "request %(request_id)s tries whether prompt parts %(parts)s still crash "
+        "upstreams",
+    )
     QUOTAS_RESTORED = (
         817,
         logging.INFO,
--- a/src/pomelothread/gateway/admission.py
+++ b/src/pomelothread/gateway/admission.py
@@ -1,14 +1,17 @@
 """Admission control: checks a request and sets its queueing deadlines."""
 
 import asyncio
+import logging
 import random
 
 from returns.result import Failure, Result, Success
 
 from ..clock import Clock
+from ..events import Event, log_event
 from ..http1.messages import Request
 from ..outcomes import NotRun, Reason
 from ..policy.crash_guard import CrashGuard, request_fingerprint
+from ..policy.crashing_parts import Verdict
 from ..policy.quotas import QuotaTracker
 from ..policy.waiting_order import (
     MAX_RETRY_AFTER_SHARE,
@@ -19,8 +22,11 @@
 from .configuration import Configuration, Organisation, Route
 from .dialect import CallerFacts
 from .jobs import Job
+from .part_crashes import PartCrashReporter
 from .state import GatewayState
 
+_log = logging.getLogger(__name__)
+
 # Subtracted from the caller's deadline, so that the response arrives in time.
 ANSWER_MARGIN_S = 0.02
 # Retry-After of refusals that do not depend on load, and the minimum for quotas.
@@ -43,6 +49,8 @@
         Quotas of organisations.
     crash_guard : CrashGuard
         Knows the fingerprints of requests that crash upstreams.
+    part_crashes : PartCrashReporter
+        Knows the parts of prompts that crash upstreams.
     clock : Clock
         Source of time.
     random_source : random.Random
@@ -54,12 +62,14 @@
         state: GatewayState,
         quotas: QuotaTracker,
         crash_guard: CrashGuard,
+        part_crashes: PartCrashReporter,
         clock: Clock,
         random_source: random.Random,
     ) -> None:
         self._state = state
         self._quotas = quotas
         self._crash_guard = crash_guard
+        self._part_crashes = part_crashes
         self._clock = clock
         self._random = random_source
 
@@ -128,6 +138,9 @@
         )
         if self._crash_guard.is_refused(fingerprint):
             return Failure(NotRun(Reason.CONVICTED, retry_after_s=CRASH_RETRY_AFTER_S))
+        verdict = self._part_crashes.verdict_on_arrival(facts.shared_parts, arrived_s)
+        if verdict is Verdict.REFUSED:
+            return Failure(convicted_part())
         if self._state.refuses_new:
             return Failure(
                 NotRun(Reason.SHUTTING_DOWN, retry_after_s=DEFAULT_RETRY_AFTER_S)
@@ -139,6 +152,14 @@
         job = self._make_job(
             request, facts, arrived_s, configuration, route, organisation, fingerprint
         )
+        if verdict is Verdict.TRIAL:
+            job.is_trial = True
+            log_event(
+                _log,
+                Event.PROMPT_PART_TRIED,
+                request_id=job.request_id,
+                parts=",".join(facts.shared_parts),
+            )
         self._state.retry_budget(job.service).earn()
         return Success(job)
 
@@ -196,6 +217,13 @@
         )
 
 
+def convicted_part() -> NotRun:
+    """Return the refusal of a request with a part that crashes upstreams."""
+    return NotRun(
+        Reason.CONVICTED, "a part of its prompt crashes upstreams", CRASH_RETRY_AFTER_S
+    )
+
+
 def quota_units(organisation: Organisation, facts: CallerFacts) -> float:
     """Return the number of quota units that a request is charged."""
     if not organisation.counts_tokens:
--- a/src/pomelothread/gateway/attempt.py
+++ b/src/pomelothread/gateway/attempt.py
@@ -12,6 +12,7 @@
 from ..http1.client import ConnectionPool, EndOfBody, Exchange, ExchangeFault
 from ..http1.messages import Headers, ResponseHead, end_to_end, header
 from ..http1.server import Responder
+from ..policy.crashing_parts import MIN_RESPONDING_S
 from ..policy.rate_limits import NoRateLimit, read_rate_statement
 from ..policy.repeats import (
     AttemptEnd,
@@ -98,6 +99,17 @@
     try_spend_retry : callable
         Takes a retry from the retry budget; False if the request has to stay on
         this upstream.
+    observe_sound : callable
+        Called with the monotonic time at which the response began, once the upstream
+        has shown that it does not crash for that reason.
+
+    Attributes
+    ----------
+    is_framed : bool
+        Whether the response declares where it ends, so that a crash does not look
+        like its end.
+    is_known_sound : bool
+        Whether `observe_sound` has been called.
     """
 
     __slots__ = (
@@ -105,6 +117,7 @@
         "_dialect",
         "_job",
         "_lease",
+        "_observe_sound",
         "_pool",
         "_queue",
         "_responder",
@@ -114,6 +127,8 @@
         "buffered_failure",
         "first_event_s",
         "has_first_event",
+        "is_framed",
+        "is_known_sound",
         "status",
         "was_sent",
     )
@@ -129,7 +144,9 @@
         upstreams: UpstreamTable,
         clock: Clock,
         try_spend_retry: Callable[[], bool],
+        observe_sound: Callable[[float], None],
     ) -> None:
+        self._observe_sound = observe_sound
         self._try_spend_retry = try_spend_retry
         self._job = job
         self._lease = lease
@@ -145,6 +162,8 @@
         self.buffered_failure: BufferedFailure | None = None
         self.status = 0
         self.was_sent = False
+        self.is_framed = True
+        self.is_known_sound = False
 
     async def run(self) -> AttemptEnd:
         """Send the request, relay the response and return the result."""
@@ -193,6 +212,7 @@
         if isinstance(head, ExchangeFault):
             return _broken_by(head)
         self.status = head.status
+        self.is_framed = _has_framing(head)
         self._lease.upstream.last_activity_s = self._clock.monotonic_s()
         facts = self._dialect.read_response(head)
         self._observe_rate_limit(facts)
@@ -290,7 +310,7 @@
     async def _relay_events(self, exchange: Exchange, head: ResponseHead) -> AttemptEnd:
         job, speed = self._job, self._lease.upstream.speed
         splitter = EventSplitter()
-        last_event_s = self._sent_s
+        last_event_s = began_s = self._sent_s
         timeout_s = self._first_byte_timeout_s()
         read_events = partial(_read_events, exchange, splitter)
         while True:
@@ -308,7 +328,10 @@
             self._lease.upstream.last_activity_s = now_s
             if self.has_first_event:
                 speed.observe_gap(now_s - last_event_s)
+                if now_s - began_s >= MIN_RESPONDING_S:
+                    self.observe_sound_once(began_s)
             else:
+                began_s = now_s
                 self._record_first_event(now_s)
                 timeout_s = STREAM_IDLE_TIMEOUT_S if job.route.may_repeat else None
             last_event_s = now_s
@@ -327,11 +350,17 @@
     def _finish_stream(self, splitter: EventSplitter, head: ResponseHead) -> AttemptEnd:
         if splitter.has_partial_event and not _has_framing(head):
             # The body is delimited by the close, so a partial event means truncation.
-            return Broken("stream ended within an event")
+            return Broken("stream ended within an event", was_cut=True)
         self._start_stream(head)
         self._responder.finish(splitter.remainder)
         return Delivered()
 
+    def observe_sound_once(self, began_s: float) -> None:
+        """Record that the upstream began to respond and did not crash."""
+        if not self.is_known_sound:
+            self.is_known_sound = True
+            self._observe_sound(began_s)
+
     def _record_first_event(self, now_s: float) -> None:
         self.has_first_event = True
         self.first_event_s = now_s - self._sent_s
--- a/src/pomelothread/gateway/dialect.py
+++ b/src/pomelothread/gateway/dialect.py
@@ -9,8 +9,6 @@
 # Token counts of callers are capped at this value. It is beyond every quota, and a
 # sum of several still fits into the messages between gateways.
 MAX_TOKENS = 10**12
-# Prompts with more parts count as prompts without any.
-MAX_PROMPT_PARTS = 64
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pomelothread/gateway/forwarding.py
+++ b/src/pomelothread/gateway/forwarding.py
@@ -38,11 +38,12 @@
     retry_after_s,
     stream_patience_s,
 )
-from .admission import Admission
+from .admission import Admission, convicted_part
 from .attempt import Attempt
 from .dialect import CallerFacts, Dialect
 from .jobs import Job
 from .metrics import GatewayMetrics
+from .part_crashes import PartCrashReporter
 from .queue import Lease, NoSlot, UpstreamQueue
 from .state import GatewayState
 from .upstream_results import UpstreamResults
@@ -72,6 +73,8 @@
         Metrics of requests and attempts.
     results : UpstreamResults
         Updates health, speed and crash records from the results of attempts.
+    part_crashes : PartCrashReporter
+        Evidence about parts of prompts that crash upstreams.
     clock : Clock
         Source of time.
     random_source : random.Random
@@ -88,6 +91,7 @@
         admission: Admission,
         metrics: GatewayMetrics,
         results: UpstreamResults,
+        part_crashes: PartCrashReporter,
         clock: Clock,
         random_source: random.Random,
     ) -> None:
@@ -99,6 +103,7 @@
         self._admission = admission
         self._metrics = metrics
         self._results = results
+        self._part_crashes = part_crashes
         self._clock = clock
         self._random = random_source
 
@@ -170,6 +175,7 @@
                 self._upstreams,
                 self._clock,
                 partial(self._try_spend_retry, job, responder),
+                partial(self._part_crashes.observe_sound, job),
             )
             could_have_run = job.may_have_run
             self._log_sent(job, lease)
@@ -189,16 +195,30 @@
             if attempt.was_sent and lease.permit_until_s is not None:
                 upstream_id = lease.upstream.listing.upstream_id
                 self._metrics.record_permit(upstream_id, "used")
-            self._results.record_end(
-                lease, end, sent_s, job, attempt.status, attempt.first_event_s
-            )
-            step = self._next_step(job, end, responder)
+            self._results.record_end(attempt, end, lease, job, sent_s)
+            if await self._may_have_crashed_upstream(attempt, end, lease, job):
+                # Another upstream might crash as well.
+                facts = self._repeat_facts(job, responder)
+                step = give_up(facts, Reason.ANSWER_LOST)
+            else:
+                step = self._next_step(job, end, responder)
             if not isinstance(end, Delivered):
                 self._log_failure(job, lease, end, step, sent_s, attempt.status)
             if not isinstance(step, TryAnother):
                 return self._apply_final_step(job, step, responder, attempt)
             job.waiting = self._waiting_facts_for_retry(job)
 
+    async def _may_have_crashed_upstream(
+        self, attempt: Attempt, end: AttemptEnd, lease: Lease, job: Job
+    ) -> bool:
+        """Return whether a part of the prompt may have crashed the upstream."""
+        was_cut = isinstance(end, Broken) and end.was_cut
+        if not was_cut or attempt.is_known_sound:
+            return False
+        if not self._part_crashes.is_untested(job):
+            return False
+        return await self._results.has_crashed(lease)
+
     def _waiting_facts_for_retry(self, job: Job) -> WaitingFacts:
         patience_s = None
         if job.first_head is not None:
@@ -243,6 +263,8 @@
         self, job: Job, no_slot: NoSlot, responder: Responder
     ) -> NextStep:
         reason = Reason.OVERLOADED if no_slot.had_upstream else Reason.NO_UPSTREAM
+        if no_slot.is_convicted:
+            reason = Reason.CONVICTED
         return give_up(self._repeat_facts(job, responder), reason)
 
     def _apply_final_step(
@@ -266,6 +288,10 @@
             case CutResponse():
                 responder.abort()
                 return "cut"
+            case AnswerNotRun(Reason.CONVICTED):
+                refusal = convicted_part()
+                self._refuse(responder, job.facts, refusal, job.waiting.arrived_s)
+                return "not run"
             case AnswerNotRun(reason):
                 wait_s = retry_after_s(
                     job.waiting, now_s, self._random.random(), available_in_s
--- a/src/pomelothread/gateway/jobs.py
+++ b/src/pomelothread/gateway/jobs.py
@@ -30,6 +30,8 @@
         Version of the configuration in force at its arrival.
     fingerprint : str
         Hash that identifies the request if it is sent again.
+    is_trial : bool
+        Whether it tries a part of a prompt that is refused.
     tried : set of str
         Ids of the upstreams that it has been sent to.
     n_sent : int
@@ -56,6 +58,7 @@
     waiting: WaitingFacts
     configuration_version: int
     fingerprint: str
+    is_trial: bool = False
     tried: set[str] = field(default_factory=set)
     n_sent: int = 0
     may_have_run: bool = False
--- a/src/pomelothread/gateway/metrics.py
+++ b/src/pomelothread/gateway/metrics.py
@@ -50,6 +50,10 @@
         self.limited_upstreams = self._metrics.gauge(
             "gateway_limited_upstreams", "Upstreams that limit the requests they take."
         )
+        self.refused_parts = self._metrics.gauge(
+            "gateway_refused_prompt_parts",
+            "Parts of prompts that crash upstreams and are refused.",
+        )
         self._permits = self._metrics.counter(
             "gateway_permits_total",
             "Permits for requests to limited upstreams by event.",
--- a/src/pomelothread/gateway/peer_messages.py
+++ b/src/pomelothread/gateway/peer_messages.py
@@ -34,6 +34,40 @@
     n_pending_tokens: int
 
 
+class PartCrashReport(msgspec.Struct, array_like=True):
+    """A crash of an upstream while it had a request with a part of a prompt.
+
+    Parameters
+    ----------
+    part : str
+        Id of the part.
+    depth : int
+        Position of the part in the prompt; 0 for the first one.
+    upstream_id : str
+        The upstream.
+    started_ms : int
+        Unix time in milliseconds at which the upstream started.
+    body : str
+        Beginning of the request's fingerprint.
+    sent_age_s : float
+        Seconds since the request was sent.
+    crashed_age_s : float
+        Seconds since its connection was lost.
+    """
+
+    part: str
+    depth: int
+    upstream_id: str
+    started_ms: int
+    body: str
+    sent_age_s: float
+    crashed_age_s: float
+
+
+# A part of a prompt, and for how many seconds it is known to have been sound.
+SoundPart = tuple[str, float]
+
+
 class PeerMessage(msgspec.Struct, array_like=True, tag="load"):
     """Heartbeat or update that a gateway sends to its cell.
 
@@ -80,6 +114,11 @@
     steady_s : float or None
         Seconds for which the sender has been fit to coordinate permits; 0.0 while it
         is not, None in messages that are no heartbeats.
+    part_crashes : list of PartCrashReport
+        Evidence against parts of prompts; a heartbeat repeats some.
+    sound_parts : list of (str, float)
+        Parts that a peer may suspect, and how many seconds ago an upstream began to
+        respond to a prompt with each of them and did not crash.
     """
 
     incarnation: str
@@ -97,6 +136,8 @@
     cell_sizes: list[int] = []
     limits: list[tuple[str, int, float | None, float]] = []
     steady_s: float | None = None
+    part_crashes: list[PartCrashReport] = []
+    sound_parts: list[SoundPart] = []
 
 
 class PermitRequest(msgspec.Struct, array_like=True, tag="permit-request"):
@@ -192,6 +233,8 @@
         started; sent by the representative of a cell.
     cell_sizes : list of int
         Number of gateways in each cell, as computed by the sender.
+    part_crashes : list of PartCrashReport
+        Some evidence against parts of prompts.
     """
 
     incarnation: str
@@ -199,3 +242,4 @@
     wants_reply: bool
     cell_used: dict[str, float] = {}
     cell_sizes: list[int] = []
+    part_crashes: list[PartCrashReport] = []
--- a/src/pomelothread/gateway/platform_link.py
+++ b/src/pomelothread/gateway/platform_link.py
@@ -30,6 +30,10 @@
         Records that gateways write about requests that crash upstreams.
     append_crash : callable
         Appends a record to `crashes`.
+    part_crashes : KeyedFeed
+        Records that gateways write about parts of prompts that crash upstreams.
+    append_part_crash : callable
+        Appends a record to `part_crashes`; an empty value removes its key.
     quota_notes : KeyedFeed
         Records of the quota units that each gateway has admitted.
     append_quota_note : callable
@@ -48,6 +52,8 @@
     listings: KeyedFeed
     crashes: KeyedFeed
     append_crash: Append
+    part_crashes: KeyedFeed
+    append_part_crash: Append
     quota_notes: KeyedFeed
     append_quota_note: Append
     decode_configuration: Callable[[bytes], Result[Configuration, str]]
--- a/src/pomelothread/gateway/process.py
+++ b/src/pomelothread/gateway/process.py
@@ -21,6 +21,7 @@
 from ..http1.server import CallerConnection, Handler, Responder, ServerLimits
 from ..metrics import CONTENT_TYPE
 from ..policy.crash_guard import CrashGuard
+from ..policy.crashing_parts import CrashingParts
 from ..policy.feed_sharing import FeedWatch, ReadingTimes
 from ..policy.quotas import QuotaTracker
 from ..policy.store_calls import call_times
@@ -37,6 +38,7 @@
 from .forwarding import Forwarder
 from .listings import ListingSync
 from .metrics import GatewayMetrics
+from .part_crashes import PartCrashReporter
 from .peers import PeerTable
 from .permits import PermitExchange
 from .platform_link import PlatformAdapter
@@ -59,6 +61,8 @@
 # Requests that are still open are abandoned this long before SIGKILL.
 STOP_MARGIN_S = 0.4
 HOUSEKEEPING_S = 0.5
+# A process that has just started may not know of the gateways before it.
+MIN_UPTIME_TO_TRY_S = 10.0
 METRICS_PATH = b"/metrics"
 LISTEN_BACKLOG = 1_024
 
@@ -100,6 +104,11 @@
         self._queue = UpstreamQueue(self._upstreams, clock, random_source)
         self._crash_guard = CrashGuard()
         self._crashes = CrashReporter(self._crash_guard, self._adapter.append_crash)
+        self._part_crashes = PartCrashReporter(
+            CrashingParts(), self._adapter.append_part_crash, clock, random_source
+        )
+        self._part_crashes.may_try = self._may_try_parts
+        self._queue.verdict_on = self._part_crashes.verdict_on
         self._quotas = QuotaTracker(settings.quota_tolerance, clock.monotonic_s())
         self._quota_notes = QuotaNotes(
             settings.instance,
@@ -115,6 +124,7 @@
             self._pool,
             self._crash_guard,
             self._crashes,
+            self._part_crashes,
             self._state,
             clock,
         )
@@ -125,10 +135,16 @@
             self._queue,
             self._upstreams,
             Admission(
-                self._state, self._quotas, self._crash_guard, clock, random_source
+                self._state,
+                self._quotas,
+                self._crash_guard,
+                self._part_crashes,
+                clock,
+                random_source,
             ),
             self.metrics,
             self._results,
+            self._part_crashes,
             clock,
             random_source,
         )
@@ -153,6 +169,7 @@
             random_source,
         )
         self._reporter.share_permits(self._permits, self._coordinators)
+        self._reporter.share_part_crashes(self._part_crashes)
         self._configuration_watch = FeedWatch(
             _reading_times(CONFIGURATION_DUE_SHARES, settings.configuration_bound_s)
         )
@@ -170,6 +187,7 @@
         # Also includes streams whose written data is not fully sent yet.
         self._open_streams: set[ByteStream] = set()
         self._tasks: set[asyncio.Task[None]] = set()
+        self._started_s = clock.monotonic_s()
         self._stopping = asyncio.Event()
         self._is_ready = False
         self.is_listening = False
@@ -286,6 +304,9 @@
         metrics.limited_upstreams.labels().set_function(
             lambda: len(self._upstreams.limited())
         )
+        metrics.refused_parts.labels().set_function(
+            lambda: self._part_crashes.n_refused
+        )
         metrics.peers.labels().set_function(lambda: len(self._peers))
         metrics.configuration.labels().set_function(
             lambda: self.configuration_version or 0
@@ -326,7 +347,21 @@
             apply=self._crashes.apply,
             wait_s=CRASH_FEED_POLL_S,
         )
-        return configurations, listings, crashes
+        part_crashes = Follower(
+            "part crashes",
+            self._adapter.part_crashes,
+            self._clock,
+            apply_all=self._part_crashes.apply_all,
+            apply=self._part_crashes.apply,
+            wait_s=CRASH_FEED_POLL_S,
+        )
+        return configurations, listings, crashes, part_crashes
+
+    def _may_try_parts(self) -> bool:
+        """Return whether this gateway tries refused parts for the whole fleet."""
+        uptime_s = self._clock.monotonic_s() - self._started_s
+        is_first = self._peers.rank == 0 and self._peers.cell == 0
+        return is_first and uptime_s >= MIN_UPTIME_TO_TRY_S
 
     def _apply_configurations(self, records: tuple[KeyedRecord, ...]) -> None:
         for record in records:
--- a/src/pomelothread/gateway/queue.py
+++ b/src/pomelothread/gateway/queue.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from ..clock import Clock
+from ..policy.crashing_parts import Verdict
 from ..policy.upstream_choice import (
     ShortestStart,
     UpstreamRequirements,
@@ -75,10 +76,13 @@
         Whether any upstream would have taken it, given a free slot.
     available_in_s : float
         Seconds until an upstream may take a request again, if none of them does now.
+    is_convicted : bool
+        Whether a part of its prompt crashes upstreams.
     """
 
     had_upstream: bool
     available_in_s: float = 0.0
+    is_convicted: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -145,6 +149,8 @@
         # Called after each assignment for a service some of whose upstreams name a
         # limit.
         self.on_shortage: Callable[[Shortage], None] = _ignore_shortage
+        # Decides from its prompt whether a waiting request may be sent.
+        self.verdict_on: Callable[[Job], Verdict] = _allow
 
     @property
     def n_waiting(self) -> int:
@@ -252,6 +258,7 @@
 
     def _assign(self, service: str, waiters: list[_Waiter]) -> None:
         self._schedule_recheck()
+        self._refuse_convicted(waiters)
         upstreams = self._table.of_service(service)
         now_s = self._clock.monotonic_s()
         if earliest_available_s(upstreams, frozenset(), now_s) > now_s:
@@ -274,6 +281,8 @@
             if waiter.granted.done():
                 waiters.remove(waiter)
                 continue
+            if self.verdict_on(waiter.job) is not Verdict.ALLOWED:
+                continue
             upstream = self._choose(waiter.job, accepting, now_s)
             if upstream is not None:
                 waiters.remove(waiter)
@@ -282,6 +291,15 @@
                 if not has_capacity(accepting):
                     return
 
+    def _refuse_convicted(self, waiters: list[_Waiter]) -> None:
+        """Refuse requests with a part that crashes upstreams."""
+        for waiter in list(waiters):
+            if self.verdict_on(waiter.job) is Verdict.REFUSED:
+                waiters.remove(waiter)
+                if not waiter.granted.done():
+                    no_slot = NoSlot(had_upstream=True, is_convicted=True)
+                    waiter.granted.set_result(no_slot)
+
     def _refuse_unservable(self, service: str, now_s: float) -> None:
         """Refuse requests whose wait would end before any upstream takes them."""
         upstreams = self._table.of_service(service)
@@ -366,6 +384,11 @@
         return lease
 
 
+def _allow(job: Job) -> Verdict:
+    """Without evidence about prompts, all requests may be sent."""
+    return Verdict.ALLOWED
+
+
 def _ignore_shortage(shortage: Shortage) -> None:
     """Without other gateways there is nobody to ask for permits."""
 
--- a/src/pomelothread/gateway/reports.py
+++ b/src/pomelothread/gateway/reports.py
@@ -17,6 +17,7 @@
 from .coordinator_choice import CoordinatorChoice
 from .crashes import CrashReporter
 from .limit_log import log_limit_change
+from .part_crashes import PartCrashReporter
 from .peer_link import PeerLink
 from .peer_messages import (
     MAX_LEAVING,
@@ -24,7 +25,9 @@
     MAX_NAMED_PEERS,
     GossipMessage,
     LoadReport,
+    PartCrashReport,
     PeerMessage,
+    SoundPart,
 )
 from .peers import Peer, PeerTable
 from .permits import PermitExchange
@@ -105,6 +108,7 @@
         self._heartbeat_due_s = 0.0
         self._feeds: tuple[tuple[FeedWatch, Callable[[], None]], ...] = ()
         self._coordinators: CoordinatorChoice | None = None
+        self._part_crashes: PartCrashReporter | None = None
         self.link = PeerLink(peers, self.on_message, self.on_gossip)
 
     def share_feeds(self, *feeds: tuple[FeedWatch, Callable[[], None]]) -> None:
@@ -133,6 +137,16 @@
         permits.send = self.link.send_permits
         self.link.on_permits = permits.on_message
 
+    def share_part_crashes(self, part_crashes: PartCrashReporter) -> None:
+        """Exchange evidence about parts of prompts with peers.
+
+        Parameters
+        ----------
+        part_crashes : PartCrashReporter
+            Evidence of this gateway.
+        """
+        self._part_crashes = part_crashes
+
     async def run(self) -> None:
         """Report until cancelled."""
         # The first message is sent at once: peers count no quota usage of this process
@@ -160,6 +174,8 @@
                 self._gossip()
         if self._peers.mark_silent():
             self._update_peer_loads(self._upstreams.all())
+        if self._part_crashes is not None:
+            self._part_crashes.log_changes()
 
     def next_message(self) -> PeerMessage | None:
         """Return the message to send now, or None if nothing has changed.
@@ -196,7 +212,8 @@
             leaving = self._upstreams.take_unreported_departures(MAX_LEAVING)
             limits = self._upstreams.rate_limits.take_unreported(MAX_LIMITS, now_s)
             used = {k: v for k, v in used.items() if v != self._sent_used.get(k)}
-            has_notices = bool(crashes or leaving or limits or self._has_news())
+            has_news = self._has_news() or self._has_part_news()
+            has_notices = bool(crashes or leaving or limits or has_news)
             is_same = not (loads or used or has_notices)
             if is_same and waiting == self._sent_waiting:
                 return None
@@ -204,6 +221,7 @@
         self._sent_used.update(used)
         self._sent_waiting = waiting
         self._sequence += 1
+        part_crashes, sound_parts = self._part_news(is_heartbeat)
         return PeerMessage(
             self._incarnation,
             self._sequence,
@@ -223,8 +241,24 @@
                 for limit in limits
             ],
             self._steady_s() if is_heartbeat else None,
+            part_crashes,
+            sound_parts,
         )
 
+    def _has_part_news(self) -> bool:
+        return self._part_crashes is not None and self._part_crashes.has_unreported
+
+    def _part_news(
+        self, is_heartbeat: bool
+    ) -> tuple[list[PartCrashReport], list[SoundPart]]:
+        """Return the news about prompt parts; a heartbeat repeats some evidence."""
+        if self._part_crashes is None:
+            return [], []
+        crashes, sound = self._part_crashes.take_unreported()
+        if is_heartbeat and not crashes:
+            crashes = self._part_crashes.some_evidence(len(self._peers))
+        return crashes, sound
+
     def _some_limits(self, now_s: float) -> list[LimitReport]:
         """Return the limits that a heartbeat names, so that new gateways learn them.
 
@@ -280,6 +314,7 @@
             # the fleet yet. The gossip tells it the division and names live gateways.
             self.link.send_gossip(self._make_gossip(wants_reply=False), peer.address)
         self._crashes.merge_reported(message.crashes)
+        self._receive_part_news(message.part_crashes, message.sound_parts)
         self._receive_division(message.cell_sizes)
         if message.is_heartbeat and message.uptime_s < HEARTBEAT_S:
             # A process that has just started does not know the load of others yet.
@@ -326,8 +361,18 @@
             if change is not None:
                 log_limit_change(change, f"gateway {peer.incarnation}")
 
+    def _receive_part_news(
+        self, crashes: list[PartCrashReport], sound: list[SoundPart]
+    ) -> None:
+        if self._part_crashes is None:
+            return
+        self._part_crashes.receive(crashes, sound)
+        if self._part_crashes.has_unreported:
+            self._queue.load_changed.set()
+
     def on_gossip(self, sender: Address, gossip: GossipMessage) -> None:
         """Process gossip of a peer."""
+        self._receive_part_news(gossip.part_crashes, [])
         if gossip.cell_used:
             now_s = self._clock.monotonic_s()
             # Total of the cell that the sender represents.
@@ -412,6 +457,9 @@
             self._sample(alive),
             wants_reply,
             cell_sizes=list(self._peers.division.sizes),
+            part_crashes=self._part_crashes.some_evidence(len(self._peers))
+            if self._part_crashes
+            else [],
         )
 
     def _sample(self, items: list[_T]) -> list[_T]:
--- a/src/pomelothread/gateway/upstream_results.py
+++ b/src/pomelothread/gateway/upstream_results.py
@@ -1,11 +1,14 @@
 """Updates health, speed and crash records from the results of attempts."""
 
+import asyncio
 import logging
 
 from ..clock import Clock
 from ..events import Event, log_event
 from ..http1.client import ConnectionPool, ExchangeFault
 from ..policy.crash_guard import CrashGuard
+from ..policy.crashing_parts import MIN_RESPONDING_S
+from ..policy.departures import UpstreamStart
 from ..policy.repeats import (
     AttemptEnd,
     Broken,
@@ -16,8 +19,10 @@
     Withheld,
 )
 from ..policy.upstream_health import mean_failure_share
+from .attempt import Attempt
 from .crashes import CrashReporter
 from .jobs import Job
+from .part_crashes import PartCrashReporter
 from .queue import Lease
 from .state import GatewayState
 from .upstreams import Upstream, UpstreamListing, UpstreamTable
@@ -42,6 +47,8 @@
         Notified of connections that were cut, with the request's fingerprint.
     crashes : CrashReporter
         Notified of upstreams that refuse connections.
+    part_crashes : PartCrashReporter
+        Notified of both, and of responses that show that parts of prompts are sound.
     state : GatewayState
         Starts the probes as background tasks.
     clock : Clock
@@ -54,6 +61,7 @@
         pool: ConnectionPool,
         crash_guard: CrashGuard,
         crashes: CrashReporter,
+        part_crashes: PartCrashReporter,
         state: GatewayState,
         clock: Clock,
     ) -> None:
@@ -61,35 +69,36 @@
         self._pool = pool
         self._crash_guard = crash_guard
         self._crashes = crashes
+        self._part_crashes = part_crashes
+        # Probe in progress of each upstream that has cut a connection; its result
+        # tells whether the upstream has crashed.
+        self._probes: dict[UpstreamStart, asyncio.Future[bool]] = {}
         self._state = state
         self._clock = clock
         self.n_probes = 0
 
     def record_end(
         self,
-        lease: Lease,
+        attempt: Attempt,
         end: AttemptEnd,
-        sent_s: float,
+        lease: Lease,
         job: Job,
-        status: int,
-        first_event_s: float | None,
+        sent_s: float,
     ) -> None:
         """Record the result of an attempt.
 
         Parameters
         ----------
-        lease : Lease
-            Slot that the attempt used.
+        attempt : Attempt
+            The attempt, with what is known of its response.
         end : AttemptEnd
             How the attempt ended.
-        sent_s : float
-            Monotonic time at which the attempt began.
+        lease : Lease
+            Slot that the attempt used.
         job : Job
             The request.
-        status : int
-            Status code of the response, or 0 without one.
-        first_event_s : float or None
-            Seconds from `sent_s` to the first event of the response; None without one.
+        sent_s : float
+            Monotonic time at which the attempt began.
         """
         upstream, now_s = lease.upstream, self._clock.monotonic_s()
         match end:
@@ -97,22 +106,18 @@
                 upstream.health.observe_success()
                 if not job.route.is_streaming:
                     upstream.speed.observe_response(now_s - sent_s)
+                self._record_whole_response(attempt, lease, job, sent_s, now_s)
                 return
             case Withheld():
                 upstream.health.observe_cancelled()
                 return
             case Unsent():
-                self._crashes.record_refused_connection(
-                    upstream.listing.upstream_id, now_s
-                )
+                self._record_refused_connection(upstream.listing, now_s)
                 begins_rest = upstream.health.observe_failure(now_s, is_certain=True)
             case Broken(was_cut=True):
-                since_first_s = None
-                if first_event_s is not None:
-                    since_first_s = now_s - sent_s - first_event_s
-                self._record_cut_and_start_probe(job, lease, now_s, since_first_s)
+                self._record_cut_and_start_probe(attempt, lease, job, sent_s, now_s)
                 begins_rest = self._observe_failure(upstream, now_s)
-            case FailedResponse() if status == GATEWAY_TIMEOUT:
+            case FailedResponse() if attempt.status == GATEWAY_TIMEOUT:
                 # The upstream exceeded the time limit. This does not count as a
                 # failure, but the time that it took is a measure of its speed.
                 upstream.health.observe_cancelled()
@@ -139,11 +144,34 @@
         )
         return upstream.health.observe_failure(now_s, others_share=others_share)
 
+    async def has_crashed(self, lease: Lease) -> bool:
+        """Wait for the probe of an upstream that has cut a connection."""
+        probe = self._probes.get(lease.upstream.listing.start)
+        # Other requests wait for the same probe.
+        return probe is not None and await asyncio.shield(probe)
+
+    def _record_whole_response(
+        self, attempt: Attempt, lease: Lease, job: Job, sent_s: float, now_s: float
+    ) -> None:
+        began_s = now_s
+        if attempt.first_event_s is not None:
+            began_s = sent_s + attempt.first_event_s
+        if attempt.is_framed:
+            attempt.observe_sound_once(began_s)
+        elif not attempt.is_known_sound:
+            # A crash may have ended it.
+            self._part_crashes.record_cut(
+                job, lease.upstream.listing.start, sent_s, now_s
+            )
+
     def _record_cut_and_start_probe(
-        self, job: Job, lease: Lease, now_s: float, since_first_s: float | None
+        self, attempt: Attempt, lease: Lease, job: Job, sent_s: float, now_s: float
     ) -> None:
         """Record a lost connection, and probe whether the upstream has crashed."""
         listing = lease.upstream.listing
+        since_first_s = None
+        if attempt.first_event_s is not None:
+            since_first_s = now_s - sent_s - attempt.first_event_s
         log_event(
             _log,
             Event.RUNNING_REQUEST_CUT,
@@ -153,17 +181,35 @@
             since_first_event_s=since_first_s and round(since_first_s, 3),
         )
         self._crash_guard.record_cut(job.fingerprint, listing.upstream_id, now_s)
-        self._state.start(self._probe(listing))
+        if since_first_s is not None and since_first_s >= MIN_RESPONDING_S:
+            attempt.observe_sound_once(now_s - since_first_s)
+        else:
+            self._part_crashes.record_cut(job, listing.start, sent_s, now_s)
+        result: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        self._probes[listing.start] = result
+        self._state.start(self._probe(listing, result))
 
-    async def _probe(self, listing: UpstreamListing) -> None:
+    async def _probe(
+        self, listing: UpstreamListing, result: "asyncio.Future[bool]"
+    ) -> None:
         # A successful connection goes to the pool, in place of the one that was lost.
         self.n_probes += 1
+        has_crashed = False
         try:
             connection = await self._pool.connect(listing.address)
+            has_crashed = isinstance(connection, ExchangeFault)
         finally:
             self.n_probes -= 1
+            if self._probes.get(listing.start) is result:
+                del self._probes[listing.start]
+            result.set_result(has_crashed)
         if isinstance(connection, ExchangeFault):
-            now_s = self._clock.monotonic_s()
-            self._crashes.record_refused_connection(listing.upstream_id, now_s)
+            self._record_refused_connection(listing, self._clock.monotonic_s())
             return
         self._pool.release(listing.address, connection)
+
+    def _record_refused_connection(
+        self, listing: UpstreamListing, now_s: float
+    ) -> None:
+        self._crashes.record_refused_connection(listing.upstream_id, now_s)
+        self._part_crashes.record_refused_connection(listing.start, now_s)
--- a/src/pomelothread/http1/messages.py
+++ b/src/pomelothread/http1/messages.py
@@ -1,10 +1,16 @@
 """Requests, response heads and headers, independent of the HTTP library."""
 
 import math
+import re
 from dataclasses import dataclass
 
 import msgspec
 
+# Lists with more entries count as malformed.
+MAX_SIZED_IDS = 64
+# Ids have up to 128 bits.
+_SIZED_ID = re.compile(rb"([0-9a-fA-F]{1,32})\s*:\s*\d{1,18}")
+
 Headers = tuple[tuple[bytes, bytes], ...]
 
 # Headers that apply to one hop only (RFC 9110, 7.6.1), and message framing, which is
@@ -138,6 +144,63 @@
     return number if 0 <= number < math.inf else None
 
 
+def parse_number_pair(value: bytes | None, most: int) -> tuple[int, int] | None:
+    """Parse a header's value as two numbers separated by a comma.
+
+    Parameters
+    ----------
+    value : bytes or None
+        The value, if the header is present.
+    most : int
+        Larger numbers are replaced by this one.
+
+    Returns
+    -------
+    tuple of (int, int) or None
+        None for anything else, as with `parse_number`.
+
+    Examples
+    --------
+    >>> parse_number_pair(b"1460, 80", 1000), parse_number_pair(b"1460", 1000)
+    ((1000, 80), None)
+    """
+    if value is None:
+        return None
+    first, _, second = value.partition(b",")
+    n_first, n_second = parse_number(first.strip()), parse_number(second.strip())
+    if n_first is None or n_second is None:
+        return None
+    return min(int(n_first), most), min(int(n_second), most)
+
+
+def parse_sized_ids(lines: tuple[bytes, ...]) -> tuple[str, ...]:
+    """Return the ids of a list of ``ID:SIZE`` entries.
+
+    Parameters
+    ----------
+    lines : tuple of bytes
+        Values of all lines of the header.
+
+    Returns
+    -------
+    tuple of str
+        Hexadecimal ids without leading zeros; empty if any entry is malformed or
+        there are more than `MAX_SIZED_IDS`.
+
+    Examples
+    --------
+    >>> parse_sized_ids((b"5C1E:800, 0a:4",)), parse_sized_ids((b"a:1,b",))
+    (('5c1e', 'a'), ())
+    """
+    if not lines:
+        return ()
+    entries = b",".join(lines).split(b",")
+    matches = [_SIZED_ID.fullmatch(entry.strip()) for entry in entries]
+    if len(matches) > MAX_SIZED_IDS or not all(matches):
+        return ()
+    return tuple(f"{int(match[1], 16):x}" for match in matches if match)
+
+
 def end_to_end(headers: Headers) -> list[tuple[bytes, bytes]]:
     """Return the headers that are forwarded to the next hop.
 
--- a/src/pomelothread/platform/headers.py
+++ b/src/pomelothread/platform/headers.py
@@ -1,13 +1,6 @@
 """Translates the platform's HTTP headers to and from the gateway's types."""
 
-import re
-
-from ..gateway.dialect import (
-    MAX_PROMPT_PARTS,
-    MAX_TOKENS,
-    CallerFacts,
-    ResponseFacts,
-)
+from ..gateway.dialect import MAX_TOKENS, CallerFacts, ResponseFacts
 from ..http1.messages import (
     Headers,
     Request,
@@ -16,6 +9,8 @@
     header,
     header_values,
     parse_number,
+    parse_number_pair,
+    parse_sized_ids,
 )
 from ..outcomes import NotKnown, NotRun, Reason, problem_response
 
@@ -42,9 +37,6 @@
 # On a 503 of a server: how long this machine must send it nothing.
 _UPSTREAM_RETRY_AFTER = b"retry-after"
 
-# Ids have up to 128 bits.
-_PROMPT_PART = re.compile(rb"([0-9a-fA-F]{1,32})\s*:\s*\d{1,18}")
-
 # The platform knows only 429, 503, 408 and 421 as refusals of a valid request.
 _STATUS_OVERRIDES = {Reason.CONVICTED: 503}
 
@@ -70,7 +62,7 @@
     def read_request(self, request: Request) -> CallerFacts:
         """Decode the headers of a caller's request."""
         headers = request.headers
-        tokens = _parse_pair(header(headers, _TOKENS))
+        tokens = parse_number_pair(header(headers, _TOKENS), MAX_TOKENS)
         deadline_ms = parse_number(header(headers, _DEADLINE))
         key = header(headers, _KEY)
         last_event_id = parse_number(header(headers, _LAST_EVENT_ID))
@@ -85,7 +77,7 @@
             n_output_tokens=tokens[1] if tokens else 0,
             has_token_counts=tokens is not None,
             last_event_id=None if last_event_id is None else int(last_event_id),
-            shared_parts=_parse_parts(header_values(headers, _PROMPT_PARTS))[:-1],
+            shared_parts=parse_sized_ids(header_values(headers, _PROMPT_PARTS))[:-1],
         )
 
     def make_upstream_request(
@@ -150,30 +142,3 @@
         if request_id is not None:
             headers.append((_REQUEST_ID, request_id))
         return status, tuple(headers), problem.body
-
-
-def _parse_parts(lines: tuple[bytes, ...]) -> tuple[str, ...]:
-    """Return the ids of a prompt's parts; nothing if any entry is malformed."""
-    if not lines:
-        return ()
-    entries = b",".join(lines).split(b",")
-    if len(entries) > MAX_PROMPT_PARTS:
-        return ()
-    ids = []
-    for entry in entries:
-        match = _PROMPT_PART.fullmatch(entry.strip())
-        if match is None:
-            return ()
-        # The same id may be written with other letters or leading zeros.
-        ids.append(f"{int(match[1], 16):x}")
-    return tuple(ids)
-
-
-def _parse_pair(value: bytes | None) -> tuple[int, int] | None:
-    if value is None:
-        return None
-    first, _, second = value.partition(b",")
-    n_first, n_second = parse_number(first.strip()), parse_number(second.strip())
-    if n_first is None or n_second is None:
-        return None
-    return min(int(n_first), MAX_TOKENS), min(int(n_second), MAX_TOKENS)
--- a/src/pomelothread/platform/store.py
+++ b/src/pomelothread/platform/store.py
@@ -22,6 +22,7 @@
 LISTING_TOPIC = "keyed.servers"
 # Topics that the gateways write.
 CRASH_TOPIC = "keyed.crashes"
+PART_CRASH_TOPIC = "keyed.part-crashes"
 QUOTA_TOPIC = "keyed.quotas"
 
 # The store closes connections that are idle for longer; only reads reuse them.
