Cut a resumed stream that does not go on after the last event

Callers got events twice, or with a gap, and a stream that ended as complete, if the upstream that was to resume a broken stream ignored the id of the last event or began later. Nothing compared the ids of the two responses.

A resumed stream must begin with an event id that may follow the last one: greater, and the next one if the ids were consecutive so far. Otherwise the attempt counts as broken, and the caller's stream is resumed elsewhere or cut.

--- a/src/pomelothread/gateway/attempt.py
+++ b/src/pomelothread/gateway/attempt.py
@@ -25,7 +25,7 @@
 )
 from ..policy.upstream_speed import predict_first_event_s
 from .dialect import Dialect, ResponseFacts
-from .events_of_stream import EventSplitter
+from .events_of_stream import EventSplitter, first_event_id
 from .jobs import Job
 from .limit_log import log_limit_change
 from .queue import Lease, UpstreamQueue
@@ -310,6 +310,8 @@
     async def _relay_events(self, exchange: Exchange, head: ResponseHead) -> AttemptEnd:
         job, speed = self._job, self._lease.upstream.speed
         splitter = EventSplitter()
+        is_resumed = job.first_head is not None
+        n_ids_before = job.n_event_ids
         last_event_s = began_s = self._sent_s
         timeout_s = self._first_byte_timeout_s()
         read_events = partial(_read_events, exchange, splitter)
@@ -324,6 +326,10 @@
                     return self._finish_stream(splitter, head)
             if splitter.is_too_long:
                 return Broken("event larger than the limit")
+            first_id = first_event_id(events)
+            if is_resumed and not job.may_be_followed_by(first_id):
+                return Broken("resumed stream does not go on after the last event")
+            is_resumed = False
             now_s = self._clock.monotonic_s()
             self._lease.upstream.last_activity_s = now_s
             if self.has_first_event:
@@ -339,6 +345,9 @@
             self._start_stream(head)
             if splitter.last_id is not None:
                 job.last_event_id = splitter.last_id
+                job.n_event_ids = n_ids_before + splitter.n_ids
+                if job.first_event_id is None:
+                    job.first_event_id = first_id
             await self._responder.send(events)
 
     def _start_stream(self, head: ResponseHead) -> None:
--- a/src/pomelothread/gateway/events_of_stream.py
+++ b/src/pomelothread/gateway/events_of_stream.py
@@ -21,6 +21,8 @@
     ----------
     last_id : int or None
         Id of the last event that was returned.
+    n_ids : int
+        Number of events with an id that were returned.
 
     Examples
     --------
@@ -33,12 +35,13 @@
     (1, b'id: 2')
     """
 
-    __slots__ = ("_comments", "_unfinished", "last_id")
+    __slots__ = ("_comments", "_unfinished", "last_id", "n_ids")
 
     def __init__(self) -> None:
         self._comments = b""
         self._unfinished = b""
         self.last_id: int | None = None
+        self.n_ids = 0
 
     @property
     def remainder(self) -> bytes:
@@ -72,4 +75,24 @@
             ids = _EVENT_ID.findall(whole)
             if ids:
                 self.last_id = int(ids[-1])
+                self.n_ids += len(ids)
         return whole
+
+
+def first_event_id(events: bytes) -> int | None:
+    r"""Return the id of the first of some complete events, or None without one.
+
+    Examples
+    --------
+    >>> first_event_id(b": comment\n\nid: 3\ndata: a\n\nid: 4\n\n")
+    3
+    >>> first_event_id(b"data: a\n\nid: 4\n\n") is None
+    True
+    """
+    start = 0
+    for match in _END_OF_EVENT.finditer(events):
+        event, start = events[start : match.end()], match.end()
+        if not _COMMENTS_ONLY.fullmatch(event):
+            found = _EVENT_ID.search(event)
+            return int(found[1]) if found else None
+    return None
--- a/src/pomelothread/gateway/jobs.py
+++ b/src/pomelothread/gateway/jobs.py
@@ -40,6 +40,10 @@
         Whether an upstream may have started to execute it.
     last_event_id : int or None
         Id of the last event of the stream that the caller has received.
+    first_event_id : int or None
+        Id of the first event of the stream that the caller has received.
+    n_event_ids : int
+        Number of events with an id that the caller has received.
     first_head : ResponseHead or None
         Response head that has been sent to the caller.
     first_event_s : float or None
@@ -63,6 +67,8 @@
     n_sent: int = 0
     may_have_run: bool = False
     last_event_id: int | None = None
+    first_event_id: int | None = None
+    n_event_ids: int = 0
     first_head: ResponseHead | None = None
     first_event_s: float | None = None
     last_event_s: float = 0.0
@@ -82,6 +88,24 @@
             self.longest_pause_s = max(self.longest_pause_s, pause_s)
         self.last_event_s = now_s
 
+    def may_be_followed_by(self, event_id: int | None) -> bool:
+        """Return whether an event may follow those that the caller has received.
+
+        Parameters
+        ----------
+        event_id : int or None
+            Id of the first event of another upstream's response; None without one.
+        """
+        if self.last_event_id is None:
+            return True
+        if event_id is None or event_id <= self.last_event_id:
+            return False
+        if self.first_event_id is None:
+            return True
+        n_expected = self.last_event_id - self.first_event_id + 1
+        has_consecutive_ids = self.n_event_ids == n_expected
+        return not has_consecutive_ids or event_id == self.last_event_id + 1
+
     def left_s(self, now_s: float) -> float:
         """Return the seconds until the deadline."""
         return self.waiting.deadline_at_s - now_s
