Cut streams that end within an event, whatever their framing

Callers found the text of an error in the middle of their stream, and the stream ended as complete, if the second upstream answered with a text in a response that was framed as whole: the rest of a stream that was not an event was sent at its end. An event that was broken off looked complete in the same way. Only responses without framing were checked.

Six tests fail before and pass after: text with a length, text in chunks, a head in the body and a partial event behind a broken stream; a stream alone that ends within an event, with a length and in chunks.

--- a/src/pomelothread/gateway/attempt.py
+++ b/src/pomelothread/gateway/attempt.py
@@ -357,9 +357,9 @@
             self._responder.start(head.status, headers)
 
     def _finish_stream(self, splitter: EventSplitter, head: ResponseHead) -> AttemptEnd:
-        if splitter.has_partial_event and not _has_framing(head):
-            # The body is delimited by the close, so a partial event means truncation.
-            return Broken("stream ended within an event", was_cut=True)
+        if splitter.has_partial_event:
+            was_cut = not self.is_framed
+            return Broken("stream ended within an event", was_cut=was_cut)
         self._start_stream(head)
         self._responder.finish(splitter.remainder)
         return Delivered()
--- a/tests/test_faulty_responses.py
+++ b/tests/test_faulty_responses.py
@@ -46,11 +46,16 @@
     ("error without an id",
      b"HTTP/1.1 500 E\r\n" + LENGTH % (len(ERROR_TEXT), ERROR_TEXT)),
     ("bare text", ERROR_TEXT + b"\r\n\r\n"),
+    ("text as a success", OK % b"r1" + LENGTH % (len(ERROR_TEXT), ERROR_TEXT)),
+    ("text in chunks", OK % b"r1" + chunked(ERROR_TEXT)),
     ("text without framing", OK % b"r1" + b"\r\n" + ERROR_TEXT),
     ("text without a seal", b"HTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\n"
      + LENGTH % (len(ERROR_TEXT), ERROR_TEXT)),
+    ("whole head in the body", OK % b"r1"
+     + chunked(b"HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n" + ERROR_TEXT)),
     ("from its beginning", OK % b"r1" + chunked(event(1), event(2), event(3))),
     ("with a gap", OK % b"r1" + chunked(event(4))),
+    ("partial event", OK % b"r1" + chunked(event(3), b"id: 4\ndata: " + ERROR_TEXT)),
 ]  # fmt: skip
 
 
@@ -118,3 +123,25 @@
         answer = await rig.call(target, request_id="r1", tokens=tokens, deadline_ms=900)
         assert answer.status in (0, 502, 504)
         assert len(server.received) == 1
+
+
+STREAM_FRAMINGS = [
+    ("length", lambda body: LENGTH % (len(body), body)),
+    ("chunks", lambda body: chunked(body)),
+    ("close", lambda body: b"\r\n" + body),
+]
+
+
+@pytest.mark.parametrize(
+    "frame",
+    [row[1] for row in STREAM_FRAMINGS],
+    ids=[row[0] for row in STREAM_FRAMINGS],
+)
+@pytest.mark.parametrize("partial", [b"id: 2\nda", b"id: 2\ndata: token 2\n", b"i"])
+async def test_a_stream_that_ends_within_an_event_is_broken_off(frame, partial):
+    stream = OK % b"r1" + frame(event(1) + partial)
+    async with raw_server(answers(stream)) as server, scripted("engines") as rig:
+        await list_raw_upstream(rig, server, "raw", "engines")
+        answer = await rig.call("/drafts/1", tokens=TOKENS, request_id="r1")
+        assert (answer.status, answer.is_complete) == (200, False)
+        assert answer.body == event(1)
