Show that a repeated refusal refuses no later request

Operators of similar systems saw upstreams write an earlier refusal once more on a kept connection. No source has changed; the first report of other operators does not happen here.

--- a/tests/test_faulty_responses.py
+++ b/tests/test_faulty_responses.py
@@ -6,11 +6,21 @@
 from platform_rig import configuration, gateway_rig, open_caller, route
 from raw_server import answers, raw_server
 
+from pomelothread.gateway import attempt
+
 TOKENS = "100,40"
 OK = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Seal: s\r\n"
+NOT_RUN = (
+    b"HTTP/1.1 %d No\r\nX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\n"
+    b"Content-Length: 0\r\n\r\n"
+)
 ERROR_TEXT = b"upstream-error-text"
 
 
+def whole(request_id, body):
+    return OK % request_id + b"Content-Length: %d\r\n\r\n%s" % (len(body), body)
+
+
 def event(number):
     return b"id: %d\ndata: token %d\n\n" % (number, number)
 
@@ -36,6 +46,33 @@
     return gateway_rig(engines=engines, desks=desks, **options)
 
 
+@pytest.mark.parametrize("status", [503, 429, 421, 408])
+@pytest.mark.parametrize("second_id", ["r1", "r2"])
+async def test_a_refusal_that_is_written_once_more_refuses_no_later_request(
+    status, second_id, monkeypatch
+):
+    # The upstream gets no requests for about a second after a refusal.
+    monkeypatch.setattr(attempt, "MAX_IDLE_UNREPEATABLE_S", 30.0)
+    refusal = NOT_RUN % (status, b"r1")
+
+    async def repeat_and_run(request):
+        copy = refusal if request.n_before else b""
+        await request.send(copy + whole(second_id.encode(), b"ran"))
+
+    scripts = [answers(refusal, closes=False), repeat_and_run]
+    async with raw_server(*scripts) as server, scripted("desk") as rig:
+        await list_raw_upstream(rig, server, "raw", "desk")
+        first = await rig.call("/orders/", request_id="r1", deadline_ms=900)
+        assert first.status in (503, 504)
+        answer = await rig.call("/orders/", request_id=second_id)
+        while len(server.received) < 2:
+            answer = await rig.call("/orders/", request_id=second_id)
+        # It has run, so it must not be called not run.
+        assert answer.status not in (408, 421, 429, 503)
+        # A connection that has carried a refusal is not used again.
+        assert server.n_connections == 2
+
+
 BROKEN_STREAM = answers(OK % b"r1" + chunked(event(1), event(2), last=b""), resets=True)
 LENGTH = b"Content-Length: %d\r\n\r\n%s"
 SECOND_RESPONSES = [
