Refuse parts that many requests share only after crashes over some time

It saw four crashes that cut requests with the first part of many prompts, and no response in which that part could be found sound.

A part that was sound before, and the first part of prompts, now also need crashes over two seconds. While any upstream responds, a sound part that many requests share is cleared within that time. The table of the policy has two rows for it, which failed.

--- a/src/pomelothread/policy/crashing_parts.py
+++ b/src/pomelothread/policy/crashing_parts.py
@@ -29,6 +29,9 @@
 N_CRASHES = 2
 N_CRASHES_OF_FIRST_PART = 3
 N_CRASHES_OF_SOUND_PART = 4
+# Parts that many requests share are refused only after crashes over this time: while
+# any upstream responds, a sound one is cleared within it.
+MIN_SPAN_S = 2.0
 # A part that crashes upstreams is seen in different requests; a single request may
 # crash upstreams for another reason, and `crash_guard` refuses it.
 N_REQUESTS = 2
@@ -410,12 +413,15 @@
         crashes = list(crashes)
         if len({crash.body for crash in crashes}) < N_REQUESTS:
             return False
-        needed = N_CRASHES
         if part in self._sound_s:
             needed = N_CRASHES_OF_SOUND_PART
         elif all(crash.depth == 0 for crash in crashes):
             needed = N_CRASHES_OF_FIRST_PART
-        return n_independent(crashes) >= needed
+        else:
+            return n_independent(crashes) >= N_CRASHES
+        times_s = [crash.crashed_s for crash in crashes]
+        has_span = max(times_s) - min(times_s) >= MIN_SPAN_S
+        return has_span and n_independent(crashes) >= needed
 
     def _is_trial_due(self, part: str, now_s: float) -> bool:
         crashes = self._crashes[part].values()
--- a/tests/test_policy_crashing_parts.py
+++ b/tests/test_policy_crashing_parts.py
@@ -79,6 +79,15 @@
         ([("sound", "f d", 0.0), crash(1, "f d"), crash(2, "f d")], set()),
         ([("sound", "f d", 0.0), *(crash(n, "f d") for n in (1, 2, 3, 4))], {"d"}),
         ([("sound", "f", 0.0), *(crash(n, "f d") for n in (1, 2, 3, 4))], {"d"}),
+        # All upstreams down for a moment, while nothing can be found sound.
+        (
+            [
+                ("sound", "f", 0.0),
+                *(crash(n, "f", at_s=1 + n / 4, took_s=0.1) for n in range(7)),
+            ],
+            set(),
+        ),
+        ([crash(n, "f", at_s=1 + n / 4, took_s=0.1) for n in range(7)], set()),
         # Sound later: a response that began after the last crash.
         ([crash(1, "f d"), crash(2, "f d"), ("sound", "f d", 2.5)], set()),
         # Requests that were sent before the previous crash have a common cause.
