Play parts of prompts that crash engines in the soak

In each run one or two parts crash the engines that begin to respond to them, to the end of the load, beside all other faults. A crashed engine refuses connections for a second and starts again. Two checks from outside: at most three such requests run later than the window after the fifth crash, through gateways without a disruption; and no sound request is told that its prompt crashes upstreams.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -20,6 +20,7 @@
     violations,
 )
 from soak_plan import (
+    CrashingPart,
     Kill,
     NamesLimit,
     Pause,
@@ -193,6 +194,27 @@
         ),
     ),
     ("limits are kept", make_limited_history(n_arrivals=9)),
+    (
+        "crashing parts are refused",
+        make_history(
+            *(
+                make_request(
+                    f"r{n}", "drafts", crashing_part="dead", status=502, answer=b""
+                )
+                for n in range(13)
+            ),
+            *(
+                make_run(f"r{n}", target=f"/drafts/r{n}", at_s=10.0 + n)
+                for n in range(13)
+            ),
+        ),
+    ),
+    (
+        "sound requests are not convicted",
+        make_history(
+            make_request(status=503, answer=b'"urn:pomelothread:problem:convicted"')
+        ),
+    ),
     (
         "planned stops cut nothing",
         make_history(
@@ -316,6 +338,10 @@
 from pomelothread.gateway.upstreams import UpstreamTable
 UpstreamTable.observe_rate_limit = lambda *args, **fields: None
 """
+IGNORES_PARTS = """
+from pomelothread.policy.crashing_parts import CrashingParts, Verdict
+CrashingParts.verdict = lambda self, *args, **options: Verdict.ALLOWED
+"""
 LIMITS = [NamesLimit((3, 4, 5), 0.5, 6.0)]
 LOST_RESPONSES = [
     UpstreamTrouble(n, UpstreamFault.LOSES_ANSWER, 2.0) for n in (3, 4, 5)
@@ -348,9 +374,19 @@
     assert check in {name for name, _ in verdict.failures}
 
 
+def test_the_soak_detects_a_gateway_that_sends_parts_that_crash_upstreams(tmp_path):
+    plan = [PlannedFault(0.5, CrashingPart("dead", 10.0))]
+    program = broken_gateway(tmp_path, IGNORES_PARTS)
+    verdict = asyncio.run(
+        soak(1, tmp_path, 10.5, program=program, is_timed=False, plan=plan)
+    )
+    assert "crashing parts are refused" in {name for name, _ in verdict.failures}
+
+
 def test_a_short_soak_of_the_real_gateway_fails_no_check(tmp_path):
     plan = [
         PlannedFault(0.6, UpstreamTrouble(0, UpstreamFault.CUTS, 1.0)),
+        PlannedFault(0.7, CrashingPart("dead", 2.8)),
         PlannedFault(0.8, LOST_RESPONSES[0]),
         PlannedFault(1.0, Kill((0,), 0.1)),
         PlannedFault(1.2, Reconfigure(3)),
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -40,6 +40,8 @@
 DISCONNECT_SHARE = 0.06
 # Probability that a caller reuses its open connection for the next request.
 KEEP_ALIVE_SHARE = 0.7
+# Share of the streams that have a part in their prompts that crashes engines now.
+CRASHING_SHARE = 0.08
 ROUTES = ("drafts", "resumes", "orders", "lookups")
 
 
@@ -128,6 +130,7 @@
             request_id=request.request_id,
             key=KEYS[request.organisation],
             tokens=f"{request.n_tokens - 40},40" if is_stream else None,
+            headers=[("X-Prompt-Prefix", request.prompt)] if is_stream else (),
             deadline_ms=round(request.deadline_s * 1000),
         )
         wait_s = request.deadline_s + ANSWER_TIMEOUT_MARGIN_S
@@ -162,6 +165,10 @@
             organisation = self._random.choice(list(KEYS))
         is_stream = route in ("drafts", "resumes")
         n_tokens = self._random.randint(60, 600) if is_stream else 20
+        crashing = sorted(self._deployment.crashing_parts)
+        part = ""
+        if is_stream and crashing and self._random.random() < CRASHING_SHARE:
+            part = self._random.choice(crashing)
         return CallerRequest(
             request_id=request_id,
             route=route,
@@ -172,6 +179,7 @@
             gateway=gateway,
             sent_s=self._deployment.now_s(),
             deadline_s=round(self._random.uniform(1.0, 4.0), 2),
+            crashing_part=part,
         )
 
 
--- a/tools/soak_checks.py
+++ b/tools/soak_checks.py
@@ -28,6 +28,12 @@
 LIMIT_SLACK = 5
 LIMIT_TOLD_S = 0.5
 
+# Requests with a part that crashes engines that may run later than `SETTLING_S` after
+# this many crashes.
+N_CRASHES = 5
+MAX_LATE_RUNS = 3
+CONVICTED = b"urn:pomelothread:problem:convicted"
+
 QUOTA_ORGANISATION = "guild"
 N_EVENTS = 12
 # Routes whose requests must run at most once.
@@ -58,6 +64,8 @@
         Time of sending.
     deadline_s : float
         Deadline that was sent with the request, in seconds after `sent_s`.
+    crashing_part : str
+        Part of its prompt that crashes engines, or "".
     was_connected : bool
         Whether a connection to the gateway could be opened.
     caller_disconnected : bool
@@ -83,6 +91,7 @@
     gateway: int
     sent_s: float
     deadline_s: float
+    crashing_part: str = ""
     was_connected: bool = True
     caller_disconnected: bool = False
     status: int = 0
@@ -91,6 +100,12 @@
     is_complete: bool = False
     ended_s: float | None = None
 
+    @property
+    def prompt(self) -> str:
+        """Parts of the prompt: one that many share, perhaps a crashing one, its own."""
+        crashing = f"{self.crashing_part}:40," if self.crashing_part else ""
+        return f"abc{int(self.request_id[1:]) % 3}:60,{crashing}{self.request_id[1:]}:9"
+
 
 @dataclass(frozen=True, slots=True)
 class Run:
@@ -174,6 +189,8 @@
     starts: list[tuple[int, float]] = field(default_factory=list)
     # Time spans in which the link to an upstream held requests back, by its id.
     held_spans: dict[str, list[tuple[float, float]]] = field(default_factory=dict)
+    # Upstream and time of each crash for a part of a prompt.
+    crashes: list[tuple[str, float]] = field(default_factory=list)
     # Gateway number and time of each SIGTERM.
     stops: list[tuple[int, float]] = field(default_factory=list)
     # Requests sent from this time on follow the last fault; nine tenths must succeed.
@@ -459,6 +476,39 @@
         yield f"{len(failed)} of {len(final)} requests failed after the last fault"
 
 
+def crashing_parts_are_refused(history: History) -> Iterator[str]:
+    """Find parts with which too many requests ran long after the fifth crash."""
+    requests = {request.request_id: request for request in history.requests}
+    times_s = defaultdict(list)
+    for run in history.runs:
+        request = requests.get(run.request_id)
+        if request is not None and request.crashing_part:
+            times_s[request.crashing_part].append((run.at_s, request))
+    for part, runs in times_s.items():
+        runs.sort(key=lambda run: run[0])
+        if len(runs) < N_CRASHES:
+            continue
+        from_s = runs[N_CRASHES - 1][0] + SETTLING_S
+        late = [
+            at_s
+            for at_s, request in runs
+            if at_s > from_s and history.is_undisturbed(request.gateway, at_s, at_s)
+        ]
+        if len(late) > MAX_LATE_RUNS:
+            yield f"{len(late)} requests with {part} ran after {from_s:.2f} s: {late}"
+
+
+def sound_requests_are_not_convicted(history: History) -> Iterator[str]:
+    """Find sound requests that were refused for a part of their prompts."""
+    convicted = [
+        request.request_id
+        for request in history.requests
+        if not request.crashing_part and CONVICTED in request.answer
+    ]
+    if convicted:
+        yield f"{len(convicted)} sound requests were refused: {convicted[:5]}"
+
+
 # Checks whose result does not depend on the speed of the machine.
 SAFETY_CHECKS: dict[str, Check] = {
     "runs once": runs_once,
@@ -470,6 +520,8 @@
     "repeats keep to the budget": repeats_keep_to_the_budget,
     "quotas are kept": quotas_are_kept,
     "limits are kept": limits_are_kept,
+    "crashing parts are refused": crashing_parts_are_refused,
+    "sound requests are not convicted": sound_requests_are_not_convicted,
     "planned stops cut nothing": planned_stops_cut_nothing,
     "everything recovers": everything_recovers,
 }
--- a/tools/soak_plan.py
+++ b/tools/soak_plan.py
@@ -91,6 +91,14 @@
     for_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class CrashingPart:
+    """A part of prompts crashes each engine that begins to respond to it."""
+
+    part: str
+    for_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class Replace:
     """An upstream is replaced, with or without an announcement that it leaves."""
@@ -121,6 +129,7 @@
     | UpstreamTrouble
     | NamesLimit
     | PeerCut
+    | CrashingPart
     | Replace
     | Reconfigure
     | ForeignRecords
@@ -188,6 +197,7 @@
         at_s += rng.expovariate(1.0 / MEAN_FAULT_GAP_S)
     plan += _plan_endless(seed, duration_s)
     plan += _plan_limits(seed, duration_s)
+    plan += _plan_crashing_parts(seed, duration_s)
     return sorted(plan, key=lambda planned: planned.at_s)
 
 
@@ -234,6 +244,20 @@
     return plan
 
 
+def _plan_crashing_parts(seed: int, duration_s: float) -> list[PlannedFault]:
+    """Draw one or two parts that crash engines, to the end of the load.
+
+    They use a generator of their own, for the same reason.
+    """
+    rng = random.Random(f"parts {seed}")
+    plan = []
+    for number in range(rng.randint(1, 2)):
+        at_s = round(rng.uniform(FIRST_FAULT_S, duration_s / 3), 2)
+        fault = CrashingPart(f"dead{number}", round(duration_s - at_s, 2))
+        plan.append(PlannedFault(at_s, fault))
+    return plan
+
+
 def _draw_fault(rng: random.Random) -> Fault:
     gateway = rng.randrange(N_GATEWAYS)
     upstream = rng.randrange(N_ENGINES + N_DESKS)
--- a/tools/soak_world.py
+++ b/tools/soak_world.py
@@ -8,6 +8,7 @@
 import time
 from collections.abc import Callable
 from contextlib import suppress
+from functools import partial
 from pathlib import Path
 
 import soak_checks
@@ -18,6 +19,7 @@
     N_DESKS,
     N_ENGINES,
     N_GATEWAYS,
+    CrashingPart,
     Fault,
     ForeignRecords,
     Kill,
@@ -41,6 +43,8 @@
 KEYS = {"club": "key-of-club", soak_checks.QUOTA_ORGANISATION: "key-of-guild"}
 EVENT_INTERVAL_S = 0.02
 LINK_DELAY_S = 0.25
+# Time after which a crashed engine accepts connections again.
+RESTART_S = 1.0
 # The load balancer checks readiness each second and takes a gateway out of rotation
 # after two failed checks in a row.
 BALANCER_INTERVAL_S = 1.0
@@ -235,6 +239,10 @@
         self._replaced: list[PlatformUpstream] = []
         self._links: dict[str, FaultProxy] = {}
         self._n_upstreams = 0
+        # Parts of prompts that crash engines now.
+        self.crashing_parts: frozenset[str] = frozenset()
+        self._restarts: set[asyncio.Task[None]] = set()
+        self._down: set[str] = set()
         self.version = 0
         self.gateways: list[GatewayProcess] = []
         self._misses: dict[int, int] = {}
@@ -278,6 +286,8 @@
 
     async def close(self) -> None:
         """Stop everything that was started, then collect the runs of the upstreams."""
+        for restart in self._restarts:
+            restart.cancel()
         for gateway in self.gateways:
             await gateway.close()
         for link in self._links.values():
@@ -383,6 +393,10 @@
             case PeerCut(number, for_s):
                 await self.gateways[number].cut_from_peers(for_s)
                 self._record_disruption(number, start_s)
+            case CrashingPart(part, for_s):
+                self._set_crashing(self.crashing_parts | {part})
+                await asyncio.sleep(for_s)
+                self._set_crashing(self.crashing_parts - {part})
             case Replace(number, is_announced):
                 await self._replace(number, is_announced)
             case Reconfigure(n_versions):
@@ -396,6 +410,36 @@
                 self.store.put("keyed.quotas", "other", {"written_ms": "soon"})
                 self.store.put("keyed.crashes", "other", [1, 2])
 
+    def _set_crashing(self, parts: frozenset[str]) -> None:
+        self.crashing_parts = parts
+        for upstream in (*self._upstreams, *self._replaced):
+            upstream.crashing_parts = parts
+
+    def _crash(self, upstream: PlatformUpstream) -> None:
+        if upstream.upstream_id in self._down:
+            # It crashes already, for another request of the same moment.
+            return
+        self._down.add(upstream.upstream_id)
+        restart = asyncio.ensure_future(self._restart(upstream))
+        self._restarts.add(restart)
+        restart.add_done_callback(self._restarts.discard)
+
+    async def _restart(self, upstream: PlatformUpstream) -> None:
+        """Let an engine refuse connections for a while, then start again."""
+        start_s = self.now_s()
+        self.history.crashes.append((upstream.upstream_id, start_s))
+        link = self._links[upstream.upstream_id]
+        link.stop_listening()
+        link.reset_all()
+        await asyncio.sleep(RESTART_S)
+        await link.start(link.port)
+        self._record_faulty_span(upstream, start_s)
+        self._down.discard(upstream.upstream_id)
+        upstream.started_ms += 1
+        if upstream in self._upstreams:
+            entry = self._entry(upstream, "ready")
+            self.store.put("keyed.servers", upstream.upstream_id, entry)
+
     async def _name_limit(self, number: int, rate_per_s: float, for_s: float) -> None:
         upstream = self._upstreams[number]
         if upstream.extra_headers:
@@ -474,6 +518,8 @@
             soak_checks.N_EVENTS,
             EVENT_INTERVAL_S,
         )
+        upstream.crashing_parts = self.crashing_parts
+        upstream.on_crash = partial(self._crash, upstream)
         await upstream.http.start()
         link = FaultProxy(Address("127.0.0.1", upstream.http.port))
         await link.start()
--- a/tools/standins/platform.py
+++ b/tools/standins/platform.py
@@ -30,7 +30,7 @@
 def reset_connection(writer: asyncio.StreamWriter) -> None:
     """Close a connection with a TCP reset instead of an orderly close."""
     sock = writer.get_extra_info("socket")
-    if sock is not None:
+    if sock is not None and sock.fileno() >= 0:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
     writer.transport.abort()
 
@@ -333,6 +333,8 @@
         # prompt contains.
         self.crashing_parts: frozenset[str] = frozenset()
         self.n_crashes = 0
+        # Called for a crash, instead of the reset of all connections.
+        self.on_crash: Callable[[], None] | None = None
         self.started_ms = 1_700_000_000_000
         self.executed_calls: list[Call] = []
         # All requests that were meant for it, with those that it rejects.
@@ -379,7 +381,10 @@
     def crash(self) -> None:
         """End as a process that crashes: all connections are reset."""
         self.n_crashes += 1
-        self.http.crash()
+        if self.on_crash is not None:
+            self.on_crash()
+        else:
+            self.http.crash()
 
     async def restart(self) -> None:
         """Start again at the same address, as a new start of the same upstream."""
