--- a/tests/test_crashing_parts_in_fleet.py
+++ b/tests/test_crashing_parts_in_fleet.py
@@ -3,8 +3,11 @@
 import asyncio
 from contextlib import AsyncExitStack
 
+import msgspec
 import pytest
-from platform_rig import gateway_rig, second_gateway
+from platform_rig import Rig, gateway_rig, running_gateway, second_gateway
+
+from pomelothread.clock import SystemClock
 
 # The users' bound: this many crashes, and this many requests after the last of them.
 N_CRASHES = 5
@@ -13,11 +16,11 @@
 TOKENS = "100,40"
 
 
-async def send(rig, request_id, *parts):
+async def send(rig, request_id, *parts, route="drafts"):
     """Send a request whose prompt has these parts and one of its own."""
     prompt = ",".join(f"{part}:40" for part in (*parts, f"{hash(request_id):x}"[-8:]))
     answer = await rig.call(
-        f"/drafts/{request_id}",
+        f"/{route}/{request_id}",
         body=request_id.encode(),
         request_id=request_id,
         tokens=TOKENS,
@@ -58,3 +61,52 @@
         # Sound requests that share the other parts and the caller are still served.
         sound = [await send(rig, f"after-{rig.address}", SHARED) for rig in rigs]
         assert [answer.status for answer in sound] == [200] * n_gateways
+
+
+async def crash_upstreams(rig, n_requests=4):
+    for upstream in rig.upstreams.values():
+        upstream.crashing_parts = frozenset((CRASHING,))
+    await send(rig, "sound", SHARED)
+    for n in range(n_requests):
+        await send(rig, f"crashing-{n}", SHARED, CRASHING)
+
+
+def stored_parts(rig):
+    records = rig.store.newest("keyed.part-crashes").values()
+    return [msgspec.json.decode(record)["part"] for record in records]
+
+
+async def test_a_gateway_that_knows_nothing_but_the_store_refuses_the_part():
+    async with gateway_rig(engines=6) as first:
+        await crash_upstreams(first)
+        while stored_parts(first).count(CRASHING) < 2:
+            await asyncio.sleep(0.01)
+        n_crashes = sum(u.n_crashes for u in first.upstreams.values())
+        alone = Rig(first.store, first.upstreams)
+        async with running_gateway(alone, SystemClock()):
+            answer = await send(alone, "crashing-again", SHARED, CRASHING)
+            assert answer.status == 503
+            assert b"convicted" in answer.body
+            assert float(answer.headers["retry-after"]) >= 60.0
+            assert (await send(alone, "sound-again", SHARED)).status == 200
+            # The evidence against the part that sound requests share is removed.
+            while SHARED in stored_parts(first):
+                await asyncio.sleep(0.01)
+        assert stored_parts(first).count(CRASHING) >= 2
+        assert sum(u.n_crashes for u in first.upstreams.values()) == n_crashes
+
+
+async def test_a_malformed_record_of_the_store_is_no_evidence():
+    async with gateway_rig(engines=2) as rig:
+        for key, value in (("a", b"no json"), ("b", [1]), ("c", {"part": SHARED})):
+            rig.store.put("keyed.part-crashes", key, value)
+        assert (await send(rig, "sound", SHARED)).status == 200
+
+
+async def test_a_repeatable_request_is_not_repeated_after_it_may_have_crashed_one():
+    async with gateway_rig(engines=3) as rig:
+        for upstream in rig.upstreams.values():
+            upstream.crashing_parts = frozenset((CRASHING,))
+        answer = await send(rig, "crashing", SHARED, CRASHING, route="resumes")
+        assert answer.status == 502
+        assert sum(upstream.n_crashes for upstream in rig.upstreams.values()) == 1
