Try a refused part 20 s after the last crash, however many came before

Trials that ended in a crash are counted instead, as crashes long after the one before, so that restarts do not forget them. The newest crashes of a part are kept, not the oldest. A trial is also no longer used up by a request that its quota or a shutdown refuses.

Three cases of a new test of the policy fail before and pass after.

--- a/src/pomelothread/gateway/admission.py
+++ b/src/pomelothread/gateway/admission.py
@@ -1,13 +1,11 @@
 """Admission control: checks a request and sets its queueing deadlines."""
 
 import asyncio
-import logging
 import random
 
 from returns.result import Failure, Result, Success
 
 from ..clock import Clock
-from ..events import Event, log_event
 from ..http1.messages import Request
 from ..outcomes import NotRun, Reason
 from ..policy.crash_guard import CrashGuard, request_fingerprint
@@ -25,8 +23,6 @@
 from .part_crashes import PartCrashReporter
 from .state import GatewayState
 
-_log = logging.getLogger(__name__)
-
 # Subtracted from the caller's deadline, so that the response arrives in time.
 ANSWER_MARGIN_S = 0.02
 # Retry-After of refusals that do not depend on load, and the minimum for quotas.
@@ -153,13 +149,7 @@
             request, facts, arrived_s, configuration, route, organisation, fingerprint
         )
         if verdict is Verdict.TRIAL:
-            job.is_trial = True
-            log_event(
-                _log,
-                Event.PROMPT_PART_TRIED,
-                request_id=job.request_id,
-                parts=",".join(facts.shared_parts),
-            )
+            self._part_crashes.begin_trial(job)
         self._state.retry_budget(job.service).earn()
         return Success(job)
 
--- a/src/pomelothread/gateway/forwarding.py
+++ b/src/pomelothread/gateway/forwarding.py
@@ -187,6 +187,9 @@
                 self._queue.release(lease, attempt.has_first_event)
                 if end is None:
                     lease.upstream.health.observe_cancelled()
+            if attempt.was_sent:
+                # A trial is sent once; its repeat is refused like other requests.
+                job.is_trial = False
             if isinstance(end, Declined):
                 job.may_have_run = could_have_run
             self._metrics.record_attempt(
--- a/src/pomelothread/gateway/part_crashes.py
+++ b/src/pomelothread/gateway/part_crashes.py
@@ -96,9 +96,20 @@
         return self._parts.has_unreported
 
     def verdict_on_arrival(self, parts: tuple[str, ...], now_s: float) -> Verdict:
-        """Decide about a request that has just arrived; it may become a trial."""
+        """Decide about a request that has just arrived; it may be sent as a trial."""
         return self._parts.verdict(parts, now_s, self.may_try())
 
+    def begin_trial(self, job: Job) -> None:
+        """Record that a request is sent to try a refused part."""
+        job.is_trial = True
+        self._parts.begin_trial(job.facts.shared_parts, self._clock.monotonic_s())
+        log_event(
+            _log,
+            Event.PROMPT_PART_TRIED,
+            request_id=job.request_id,
+            parts=",".join(job.facts.shared_parts),
+        )
+
     def verdict_on(self, job: Job) -> Verdict:
         """Decide about a request that waits."""
         if job.is_trial:
--- a/src/pomelothread/policy/crashing_parts.py
+++ b/src/pomelothread/policy/crashing_parts.py
@@ -16,6 +16,7 @@
 from it, as far as it has received it.
 """
 
+import itertools
 import math
 from collections import OrderedDict
 from collections.abc import Iterable, Sequence
@@ -45,11 +46,12 @@
 # this time.
 CRASH_CONFIRMATION_S = 3.0
 # After this time without a crash, one request tries whether the part still crashes
-# upstreams. The time grows with each crash.
+# upstreams. The time grows with each trial that ended in a crash.
 FIRST_TRIAL_S = 20.0
 TRIAL_DELAY_FACTOR = 6.0
-# A part with more crashes is not tried again; its evidence expires.
-MAX_CRASHES_TO_TRY = 6
+# After as many trials that ended in a crash, the part is refused until its evidence
+# expires.
+MAX_FAILED_TRIALS = 3
 EVIDENCE_LIFE_S = 24 * 3600.0
 # Limits of the stored state. A sound part takes about 150 bytes, a crash 400.
 MAX_SOUND_PARTS = 10_000
@@ -216,9 +218,14 @@
             if sound_s > crash.crashed_s:
                 return False
         crashes = self._crashes.setdefault(crash.part, {})
-        if crash.start in crashes or len(crashes) >= MAX_CRASHES_OF_PART:
+        if crash.start in crashes:
             return False
         crashes[crash.start] = crash
+        if len(crashes) > MAX_CRASHES_OF_PART:
+            oldest = min(crashes.values(), key=lambda known: known.crashed_s)
+            del crashes[oldest.start]
+            if oldest is crash:
+                return False
         self._is_outdated = True
         if len(self._crashes) > MAX_SUSPECTED_PARTS:
             self._forget(self._oldest_suspect())
@@ -297,7 +304,7 @@
         Returns
         -------
         Verdict
-            `TRIAL` at most once for each time at which a trial is due.
+            `TRIAL` until `begin_trial` is called.
         """
         if not self._crashes:
             return Verdict.ALLOWED
@@ -309,10 +316,15 @@
         if not settled:
             return Verdict.HELD
         if may_try and len(named) == 1 and self._is_trial_due(named[0], now_s):
-            self._tried_s[named[0]] = now_s
             return Verdict.TRIAL
         return Verdict.REFUSED
 
+    def begin_trial(self, parts: Iterable[str], now_s: float) -> None:
+        """Record that a request with the verdict `TRIAL` is going to be sent."""
+        for part in parts:
+            if part in self._refused_from_s:
+                self._tried_s[part] = now_s
+
     def refused(self, now_s: float) -> frozenset[str]:
         """Return the parts that are refused now."""
         from_s = self._refused(now_s)
@@ -424,13 +436,14 @@
         return has_span and n_independent(crashes) >= needed
 
     def _is_trial_due(self, part: str, now_s: float) -> bool:
-        crashes = self._crashes[part].values()
-        if len(crashes) > MAX_CRASHES_TO_TRY:
+        times_s = sorted(crash.crashed_s for crash in self._crashes[part].values())
+        # A crash long after the one before was that of a trial. Counting them in the
+        # evidence, not here, keeps the count over restarts.
+        n_failed = sum(b - a >= FIRST_TRIAL_S for a, b in itertools.pairwise(times_s))
+        if n_failed >= MAX_FAILED_TRIALS:
             return False
-        last_s = max(crash.crashed_s for crash in crashes)
-        last_s = max(last_s, self._tried_s.get(part, -math.inf))
-        delay_s = FIRST_TRIAL_S * TRIAL_DELAY_FACTOR ** (len(crashes) - N_CRASHES)
-        return now_s - last_s >= delay_s
+        last_s = max(times_s[-1], self._tried_s.get(part, -math.inf))
+        return now_s - last_s >= FIRST_TRIAL_S * TRIAL_DELAY_FACTOR**n_failed
 
     def _drop_expired(self, now_s: float) -> None:
         for part, crashes in list(self._crashes.items()):
--- a/tests/test_crashing_parts_in_fleet.py
+++ b/tests/test_crashing_parts_in_fleet.py
@@ -1,6 +1,7 @@
 """Parts of prompts that crash upstreams are refused by all gateways together."""
 
 import asyncio
+import zlib
 from contextlib import AsyncExitStack
 
 import msgspec
@@ -8,6 +9,8 @@
 from platform_rig import Rig, gateway_rig, running_gateway, second_gateway
 
 from pomelothread.clock import SystemClock
+from pomelothread.gateway import process
+from pomelothread.policy import crashing_parts
 
 # The users' bound: this many crashes, and this many requests after the last of them.
 N_CRASHES = 5
@@ -18,7 +21,9 @@
 
 async def send(rig, request_id, *parts, route="drafts"):
     """Send a request whose prompt has these parts and one of its own."""
-    prompt = ",".join(f"{part}:40" for part in (*parts, f"{hash(request_id):x}"[-8:]))
+    prompt = ",".join(
+        f"{part}:40" for part in (*parts, f"{zlib.crc32(request_id.encode()):x}")
+    )
     answer = await rig.call(
         f"/{route}/{request_id}",
         body=request_id.encode(),
@@ -110,3 +115,28 @@
         answer = await send(rig, "crashing", SHARED, CRASHING, route="resumes")
         assert answer.status == 502
         assert sum(upstream.n_crashes for upstream in rig.upstreams.values()) == 1
+
+
+async def test_a_part_is_sent_again_after_one_request_has_tried_it(monkeypatch):
+    monkeypatch.setattr(process, "MIN_UPTIME_TO_TRY_S", 0.0)
+    monkeypatch.setattr(crashing_parts, "N_CRASHES_OF_SOUND_PART", 2)
+    monkeypatch.setattr(crashing_parts, "MIN_SPAN_S", 0.0)
+    async with gateway_rig(engines=6) as rig:
+        upstreams = rig.upstreams.values()
+        await send(rig, "sound", SHARED, CRASHING)
+        for upstream in upstreams:
+            upstream.crashing_parts = frozenset((CRASHING,))
+        for n in range(4):
+            await send(rig, f"crashing-{n}", SHARED, CRASHING)
+        n_crashes = sum(upstream.n_crashes for upstream in upstreams)
+        monkeypatch.setattr(crashing_parts, "FIRST_TRIAL_S", 0.0)
+        monkeypatch.setattr(crashing_parts, "MAX_FAILED_TRIALS", 100)
+        # Its route allows repeats, but a trial is sent once.
+        answer = await send(rig, "trial-1", SHARED, CRASHING, route="resumes")
+        assert answer.status == 502
+        assert sum(upstream.n_crashes for upstream in upstreams) == n_crashes + 1
+        for upstream in upstreams:
+            upstream.crashing_parts = frozenset()
+        assert (await send(rig, "trial-2", SHARED, CRASHING)).status == 200
+        monkeypatch.setattr(crashing_parts, "FIRST_TRIAL_S", 1000.0)
+        assert (await send(rig, "after", SHARED, CRASHING)).status == 200
--- a/tests/test_policy_crashing_parts.py
+++ b/tests/test_policy_crashing_parts.py
@@ -148,6 +148,7 @@
         assert parts.verdict(("f", "d"), now_s) is REFUSED
         if parts.verdict(("f", "d"), now_s, may_try=True) is Verdict.TRIAL:
             trials_s.append(now_s)
+            parts.begin_trial(("f", "d"), now_s)
             assert parts.verdict(("f", "d"), now_s, may_try=True) is REFUSED
             n += 1
             apply(parts, crash(n, "f d", at_s=now_s + 1.0))
@@ -155,8 +156,40 @@
     assert FIRST_TRIAL_S <= trials_s[0] <= FIRST_TRIAL_S + 10.0
     gaps_s = [b - a for a, b in itertools.pairwise(trials_s)]
     assert gaps_s == sorted(gaps_s)
-    # At most three tries after the fifth crash, the users' bound.
-    assert n <= 5 + 3
+    # The users allow three requests after the fifth crash.
+    assert len(trials_s) == 3
+
+
+@pytest.mark.parametrize(
+    "events",
+    [
+        [crash(n, "f") for n in range(1, 4)],
+        [("sound", "f", 0.0), *(crash(n, "f") for n in range(1, 5))],
+        [("sound", "f", 0.0), *(crash(n, "f") for n in range(1, 30))],
+    ],
+    ids=["never sound", "sound before", "many crashes"],
+)
+def test_a_part_that_many_requests_share_is_tried_soon_after_an_outage(events):
+    parts = played(*events)
+    last_s = float(events[-1][0])
+    parts.refused(last_s)
+    assert parts.verdict(("f",), last_s + 1.0, may_try=True) is REFUSED
+    due_s = last_s + FIRST_TRIAL_S
+    assert parts.verdict(("f",), due_s, may_try=True) is Verdict.TRIAL
+    parts.begin_trial(("f",), due_s)
+    assert parts.verdict(("f",), due_s, may_try=True) is REFUSED
+    parts.observe_sound(("f",), due_s + 0.5)
+    assert parts.verdict(("f",), due_s + 1.0) is ALLOWED
+
+
+def test_failed_trials_are_counted_over_restarts():
+    before = played(crash(1, "f d"), crash(2, "f d"), crash(3, "f d", at_s=30.0))
+    after = CrashingParts()
+    for evidence in before.evidence():
+        after.add(evidence)
+    after.refused(31.0)
+    assert after.verdict(("f", "d"), 60.0, may_try=True) is REFUSED
+    assert after.verdict(("f", "d"), 150.0, may_try=True) is Verdict.TRIAL
 
 
 def test_evidence_expires_and_stays_within_its_bounds():
