Measure a response from its first event, not from the request for a connection

A part that crashes upstreams would have been taken for sound if the connection took a while: how long the upstream had responded was counted from before the connect, so a response of a moment seemed longer by the time to connect, up to 0.5 s, and 0.25 s clear a part. The time at which a request was sent was too early in the same way.

The attempt keeps both times itself, and is passed on as a whole instead of in parts. The id of the first event of a batch is only searched where it is used.

The new test, with a connection that takes 0.5 s and a crash right after the first event, finds no evidence before, and both parts after.

--- a/src/pomelothread/gateway/attempt.py
+++ b/src/pomelothread/gateway/attempt.py
@@ -105,6 +105,10 @@
 
     Attributes
     ----------
+    sent_s : float
+        Monotonic time at which the request was sent; 0.0 before.
+    began_s : float or None
+        Monotonic time of the first event of the response.
     is_framed : bool
         Whether the response declares where it ends, so that a crash does not look
         like its end.
@@ -115,20 +119,21 @@
     __slots__ = (
         "_clock",
         "_dialect",
-        "_job",
-        "_lease",
         "_observe_sound",
         "_pool",
         "_queue",
         "_responder",
-        "_sent_s",
         "_try_spend_retry",
         "_upstreams",
+        "began_s",
         "buffered_failure",
         "first_event_s",
         "has_first_event",
         "is_framed",
         "is_known_sound",
+        "job",
+        "lease",
+        "sent_s",
         "status",
         "was_sent",
     )
@@ -148,15 +153,16 @@
     ) -> None:
         self._observe_sound = observe_sound
         self._try_spend_retry = try_spend_retry
-        self._job = job
-        self._lease = lease
+        self.job = job
+        self.lease = lease
         self._responder = responder
         self._dialect = dialect
         self._pool = pool
         self._queue = queue
         self._upstreams = upstreams
         self._clock = clock
-        self._sent_s = 0.0
+        self.sent_s = 0.0
+        self.began_s: float | None = None
         self.has_first_event = False
         self.first_event_s: float | None = None
         self.buffered_failure: BufferedFailure | None = None
@@ -167,22 +173,22 @@
 
     async def run(self) -> AttemptEnd:
         """Send the request, relay the response and return the result."""
-        job, listing = self._job, self._lease.upstream.listing
+        job, listing = self.job, self.lease.upstream.listing
         may_repeat = job.route.may_repeat
         connection = await self._pool.acquire(
             listing.address, MAX_IDLE_S if may_repeat else MAX_IDLE_UNREPEATABLE_S
         )
         if isinstance(connection, ExchangeFault):
             return Unsent()
-        self._sent_s = self._clock.monotonic_s()
-        if not self._lease.may_send(self._sent_s):
+        self.sent_s = self._clock.monotonic_s()
+        if not self.lease.may_send(self.sent_s):
             # During the connect it announced that it leaves, asked for a rest or named
             # a limit, or the permit has expired.
             self._pool.release(listing.address, connection)
             return Withheld()
         request = self._dialect.make_upstream_request(
             job.request,
-            left_s=job.left_s(self._sent_s),
+            left_s=job.left_s(self.sent_s),
             upstream_id=listing.upstream_id,
             organisation=job.organisation.name if job.organisation else None,
             last_event_id=job.last_event_id,
@@ -203,7 +209,7 @@
             exchange.finish(self._pool, listing.address)
 
     async def _read(self, exchange: Exchange) -> AttemptEnd:
-        job = self._job
+        job = self.job
         head = await self._read_or_timeout(
             exchange.read_head, self._first_byte_timeout_s()
         )
@@ -213,7 +219,7 @@
             return _broken_by(head)
         self.status = head.status
         self.is_framed = _has_framing(head)
-        self._lease.upstream.last_activity_s = self._clock.monotonic_s()
+        self.lease.upstream.last_activity_s = self._clock.monotonic_s()
         facts = self._dialect.read_response(head)
         self._observe_rate_limit(facts)
         if exchange.is_on_reused_connection and not facts.has_request_id:
@@ -232,7 +238,7 @@
 
     def _handle_upstream_notices(self, facts: ResponseFacts) -> None:
         """Record that the upstream is leaving or asks for a rest."""
-        listing = self._lease.upstream.listing
+        listing = self.lease.upstream.listing
         if facts.is_leaving and facts.is_other_upstream:
             self._upstreams.record_departure_at(listing.address, listing.upstream_id)
         elif facts.is_leaving and self._upstreams.record_departure(listing.start):
@@ -241,18 +247,18 @@
                 _log,
                 Event.UPSTREAM_SAID_TO_LEAVE,
                 upstream=listing.upstream_id,
-                request_id=self._job.request_id,
+                request_id=self.job.request_id,
             )
         if facts.requested_rest_s and not facts.is_other_upstream:
             now_s = self._clock.monotonic_s()
-            self._lease.upstream.health.record_requested_rest(
+            self.lease.upstream.health.record_requested_rest(
                 now_s, facts.requested_rest_s
             )
             log_event(
                 _log,
                 Event.UPSTREAM_ASKED_FOR_REST,
                 upstream=listing.upstream_id,
-                request_id=self._job.request_id,
+                request_id=self.job.request_id,
                 rest_s=round(facts.requested_rest_s, 3),
             )
 
@@ -264,13 +270,13 @@
         if isinstance(statement, NoRateLimit) and not facts.has_request_id:
             # It may be the late response to an earlier request.
             return
-        listing = self._lease.upstream.listing
+        listing = self.lease.upstream.listing
         change = self._upstreams.observe_rate_limit(
-            listing.start, statement, self._sent_s, self._clock.monotonic_s()
+            listing.start, statement, self.sent_s, self._clock.monotonic_s()
         )
         if change is not None:
             self._queue.load_changed.set()
-            log_limit_change(change, f"request {self._job.request_id}")
+            log_limit_change(change, f"request {self.job.request_id}")
 
     async def _buffer_failure(
         self, exchange: Exchange, head: ResponseHead
@@ -278,7 +284,7 @@
         body = await self._read_buffered(exchange)
         if not isinstance(body, bytes):
             return _broken_by(body)
-        if self._job.first_head is not None:
+        if self.job.first_head is not None:
             return Broken(f"status {head.status} when resuming a stream")
         if not exchange.is_complete:
             return Broken(f"status {head.status} with a body that is too large")
@@ -308,11 +314,11 @@
                     return _broken_by(part)
 
     async def _relay_events(self, exchange: Exchange, head: ResponseHead) -> AttemptEnd:
-        job, speed = self._job, self._lease.upstream.speed
+        job, speed = self.job, self.lease.upstream.speed
         splitter = EventSplitter()
         is_resumed = job.first_head is not None
         n_ids_before = job.n_event_ids
-        last_event_s = began_s = self._sent_s
+        last_event_s = self.sent_s
         timeout_s = self._first_byte_timeout_s()
         read_events = partial(_read_events, exchange, splitter)
         while True:
@@ -326,18 +332,16 @@
                     return self._finish_stream(splitter, head)
             if splitter.is_too_long:
                 return Broken("event larger than the limit")
-            first_id = first_event_id(events)
-            if is_resumed and not job.may_be_followed_by(first_id):
+            if is_resumed and not job.may_be_followed_by(first_event_id(events)):
                 return Broken("resumed stream does not go on after the last event")
             is_resumed = False
             now_s = self._clock.monotonic_s()
-            self._lease.upstream.last_activity_s = now_s
-            if self.has_first_event:
+            self.lease.upstream.last_activity_s = now_s
+            if self.began_s is not None:
                 speed.observe_gap(now_s - last_event_s)
-                if now_s - began_s >= MIN_RESPONDING_S:
-                    self.observe_sound_once(began_s)
+                if now_s - self.began_s >= MIN_RESPONDING_S:
+                    self.observe_sound_once(self.began_s)
             else:
-                began_s = now_s
                 self._record_first_event(now_s)
                 timeout_s = STREAM_IDLE_TIMEOUT_S if job.route.may_repeat else None
             last_event_s = now_s
@@ -347,12 +351,12 @@
                 job.last_event_id = splitter.last_id
                 job.n_event_ids = n_ids_before + splitter.n_ids
                 if job.first_event_id is None:
-                    job.first_event_id = first_id
+                    job.first_event_id = first_event_id(events)
             await self._responder.send(events)
 
     def _start_stream(self, head: ResponseHead) -> None:
-        if self._job.first_head is None:
-            self._job.first_head = head
+        if self.job.first_head is None:
+            self.job.first_head = head
             headers = tuple(end_to_end(head.headers))
             self._responder.start(head.status, headers)
 
@@ -372,8 +376,9 @@
 
     def _record_first_event(self, now_s: float) -> None:
         self.has_first_event = True
-        self.first_event_s = now_s - self._sent_s
-        lease = self._lease
+        self.began_s = now_s
+        self.first_event_s = now_s - self.sent_s
+        lease = self.lease
         n_tokens = lease.n_prompt_tokens + lease.n_pending_tokens
         lease.upstream.speed.observe_first(self.first_event_s, n_tokens)
         self._queue.record_first_event(lease)
@@ -391,7 +396,7 @@
             return await read()
         started_s = self._clock.monotonic_s()
         result = await _with_timeout(read(), timeout_s)
-        if result is None and self._lease.upstream.last_activity_s > started_s:
+        if result is None and self.lease.upstream.last_activity_s > started_s:
             result = await _with_timeout(
                 read(), (BUSY_TIMEOUT_FACTOR - 1.0) * timeout_s
             )
@@ -401,7 +406,7 @@
 
     def _first_byte_timeout_s(self) -> float | None:
         """Return the first-byte timeout, or None if a retry is not allowed."""
-        job, lease = self._job, self._lease
+        job, lease = self.job, self.lease
         if not job.route.may_repeat or job.n_sent >= job.route.max_attempts:
             return None
         speed = lease.upstream.speed
--- a/src/pomelothread/gateway/forwarding.py
+++ b/src/pomelothread/gateway/forwarding.py
@@ -179,7 +179,7 @@
             )
             could_have_run = job.may_have_run
             self._log_sent(job, lease)
-            sent_s = self._clock.monotonic_s()
+            started_s = self._clock.monotonic_s()
             end: AttemptEnd | None = None
             try:
                 end = await attempt.run()
@@ -198,29 +198,29 @@
             if attempt.was_sent and lease.permit_until_s is not None:
                 upstream_id = lease.upstream.listing.upstream_id
                 self._metrics.record_permit(upstream_id, "used")
-            self._results.record_end(attempt, end, lease, job, sent_s)
-            if await self._may_have_crashed_upstream(attempt, end, lease, job):
+            self._results.record_end(attempt, end, started_s)
+            if await self._may_have_crashed_upstream(attempt, end):
                 # Another upstream might crash as well.
                 facts = self._repeat_facts(job, responder)
                 step = give_up(facts, Reason.ANSWER_LOST)
             else:
                 step = self._next_step(job, end, responder)
             if not isinstance(end, Delivered):
-                self._log_failure(job, lease, end, step, sent_s, attempt.status)
+                self._log_failure(job, lease, end, step, started_s, attempt.status)
             if not isinstance(step, TryAnother):
                 return self._apply_final_step(job, step, responder, attempt)
             job.waiting = self._waiting_facts_for_retry(job)
 
     async def _may_have_crashed_upstream(
-        self, attempt: Attempt, end: AttemptEnd, lease: Lease, job: Job
+        self, attempt: Attempt, end: AttemptEnd
     ) -> bool:
         """Return whether a part of the prompt may have crashed the upstream."""
         was_cut = isinstance(end, Broken) and end.was_cut
         if not was_cut or attempt.is_known_sound:
             return False
-        if not self._part_crashes.is_untested(job):
+        if not self._part_crashes.is_untested(attempt.job):
             return False
-        return await self._results.has_crashed(lease)
+        return await self._results.has_crashed(attempt.lease.upstream.listing.start)
 
     def _waiting_facts_for_retry(self, job: Job) -> WaitingFacts:
         patience_s = None
@@ -388,7 +388,7 @@
         lease: Lease,
         end: AttemptEnd,
         step: NextStep,
-        sent_s: float,
+        started_s: float,
         status: int,
     ) -> None:
         detail = end.detail if isinstance(end, Broken) else type(end).__name__
@@ -398,7 +398,7 @@
             request_id=job.request_id,
             upstream=lease.upstream.listing.upstream_id,
             attempt=job.n_sent,
-            took_s=round(self._clock.monotonic_s() - sent_s, 3),
+            took_s=round(self._clock.monotonic_s() - started_s, 3),
             detail=f"{detail}, status {status}" if status else detail,
             decision=type(step).__name__,
         )
--- a/src/pomelothread/gateway/upstream_results.py
+++ b/src/pomelothread/gateway/upstream_results.py
@@ -21,9 +21,7 @@
 from ..policy.upstream_health import mean_failure_share
 from .attempt import Attempt
 from .crashes import CrashReporter
-from .jobs import Job
 from .part_crashes import PartCrashReporter
-from .queue import Lease
 from .state import GatewayState
 from .upstreams import Upstream, UpstreamListing, UpstreamTable
 
@@ -77,14 +75,7 @@
         self._clock = clock
         self.n_probes = 0
 
-    def record_end(
-        self,
-        attempt: Attempt,
-        end: AttemptEnd,
-        lease: Lease,
-        job: Job,
-        sent_s: float,
-    ) -> None:
+    def record_end(self, attempt: Attempt, end: AttemptEnd, started_s: float) -> None:
         """Record the result of an attempt.
 
         Parameters
@@ -93,20 +84,17 @@
             The attempt, with what is known of its response.
         end : AttemptEnd
             How the attempt ended.
-        lease : Lease
-            Slot that the attempt used.
-        job : Job
-            The request.
-        sent_s : float
-            Monotonic time at which the attempt began.
+        started_s : float
+            Monotonic time at which the attempt began, before it had a connection.
         """
-        upstream, now_s = lease.upstream, self._clock.monotonic_s()
+        job, upstream = attempt.job, attempt.lease.upstream
+        now_s = self._clock.monotonic_s()
         match end:
             case Delivered():
                 upstream.health.observe_success()
                 if not job.route.is_streaming:
-                    upstream.speed.observe_response(now_s - sent_s)
-                self._record_whole_response(attempt, lease, job, sent_s, now_s)
+                    upstream.speed.observe_response(now_s - started_s)
+                self._record_whole_response(attempt, now_s)
                 return
             case Withheld():
                 upstream.health.observe_cancelled()
@@ -115,14 +103,14 @@
                 self._record_refused_connection(upstream.listing, now_s)
                 begins_rest = upstream.health.observe_failure(now_s, is_certain=True)
             case Broken(was_cut=True):
-                self._record_cut_and_start_probe(attempt, lease, job, sent_s, now_s)
+                self._record_cut_and_start_probe(attempt, now_s)
                 begins_rest = self._observe_failure(upstream, now_s)
             case FailedResponse() if attempt.status == GATEWAY_TIMEOUT:
                 # The upstream exceeded the time limit. This does not count as a
                 # failure, but the time that it took is a measure of its speed.
                 upstream.health.observe_cancelled()
                 if not job.route.is_streaming:
-                    upstream.speed.observe_response(now_s - sent_s)
+                    upstream.speed.observe_response(now_s - started_s)
                 return
             case Declined() | FailedResponse() | Broken():
                 begins_rest = self._observe_failure(upstream, now_s)
@@ -144,51 +132,44 @@
         )
         return upstream.health.observe_failure(now_s, others_share=others_share)
 
-    async def has_crashed(self, lease: Lease) -> bool:
+    async def has_crashed(self, start: UpstreamStart) -> bool:
         """Wait for the probe of an upstream that has cut a connection."""
-        probe = self._probes.get(lease.upstream.listing.start)
+        probe = self._probes.get(start)
         # Other requests wait for the same probe.
         return probe is not None and await asyncio.shield(probe)
 
-    def _record_whole_response(
-        self, attempt: Attempt, lease: Lease, job: Job, sent_s: float, now_s: float
-    ) -> None:
-        began_s = now_s
-        if attempt.first_event_s is not None:
-            began_s = sent_s + attempt.first_event_s
+    def _record_whole_response(self, attempt: Attempt, now_s: float) -> None:
         if attempt.is_framed:
-            attempt.observe_sound_once(began_s)
+            attempt.observe_sound_once(attempt.began_s or now_s)
         elif not attempt.is_known_sound:
             # A crash may have ended it.
-            self._part_crashes.record_cut(
-                job, lease.upstream.listing.start, sent_s, now_s
-            )
+            self._record_suspect(attempt, now_s)
 
-    def _record_cut_and_start_probe(
-        self, attempt: Attempt, lease: Lease, job: Job, sent_s: float, now_s: float
-    ) -> None:
+    def _record_cut_and_start_probe(self, attempt: Attempt, now_s: float) -> None:
         """Record a lost connection, and probe whether the upstream has crashed."""
-        listing = lease.upstream.listing
-        since_first_s = None
-        if attempt.first_event_s is not None:
-            since_first_s = now_s - sent_s - attempt.first_event_s
+        job, listing = attempt.job, attempt.lease.upstream.listing
+        began_s = attempt.began_s
         log_event(
             _log,
             Event.RUNNING_REQUEST_CUT,
             upstream=listing.upstream_id,
             request_id=job.request_id,
             parts=",".join(job.facts.shared_parts),
-            since_first_event_s=since_first_s and round(since_first_s, 3),
+            since_first_event_s=began_s and round(now_s - began_s, 3),
         )
         self._crash_guard.record_cut(job.fingerprint, listing.upstream_id, now_s)
-        if since_first_s is not None and since_first_s >= MIN_RESPONDING_S:
-            attempt.observe_sound_once(now_s - since_first_s)
+        if began_s is not None and now_s - began_s >= MIN_RESPONDING_S:
+            attempt.observe_sound_once(began_s)
         else:
-            self._part_crashes.record_cut(job, listing.start, sent_s, now_s)
+            self._record_suspect(attempt, now_s)
         result: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
         self._probes[listing.start] = result
         self._state.start(self._probe(listing, result))
 
+    def _record_suspect(self, attempt: Attempt, now_s: float) -> None:
+        start = attempt.lease.upstream.listing.start
+        self._part_crashes.record_cut(attempt.job, start, attempt.sent_s, now_s)
+
     async def _probe(
         self, listing: UpstreamListing, result: "asyncio.Future[bool]"
     ) -> None:
--- a/tests/test_crashing_parts_in_fleet.py
+++ b/tests/test_crashing_parts_in_fleet.py
@@ -2,14 +2,21 @@
 
 import asyncio
 import zlib
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, suppress
 
 import msgspec
 import pytest
-from platform_rig import Rig, gateway_rig, running_gateway, second_gateway
+from platform_rig import (
+    Rig,
+    gateway_rig,
+    open_caller,
+    running_gateway,
+    second_gateway,
+)
 
 from pomelothread.clock import SystemClock
 from pomelothread.gateway import process
+from pomelothread.http1.client import ConnectionPool
 from pomelothread.policy import crashing_parts
 
 # The users' bound: this many crashes, and this many requests after the last of them.
@@ -140,3 +147,31 @@
         assert (await send(rig, "trial-2", SHARED, CRASHING)).status == 200
         monkeypatch.setattr(crashing_parts, "FIRST_TRIAL_S", 1000.0)
         assert (await send(rig, "after", SHARED, CRASHING)).status == 200
+
+
+async def test_the_time_to_connect_does_not_make_a_response_seem_longer(monkeypatch):
+    connect = ConnectionPool.connect
+
+    async def connect_slowly(self, address):
+        await asyncio.sleep(2 * crashing_parts.MIN_RESPONDING_S)
+        return await connect(self, address)
+
+    async with gateway_rig(engines=1) as rig:
+        monkeypatch.setattr(ConnectionPool, "connect", connect_slowly)
+        (upstream,) = (u for u in rig.upstreams.values() if u.service == "engines")
+        upstream.crashing_parts = frozenset((CRASHING,))
+        upstream.crashes_after_event = True
+        upstream.may_answer.clear()
+        caller = await open_caller(rig.address)
+        prompt = f"{SHARED}:40,{CRASHING}:40,e4402b7d:9"
+        caller.send("/drafts/", tokens=TOKENS, headers=[("X-Prompt-Prefix", prompt)])
+        await caller.reader.readuntil(b"token 1\n\n")
+        upstream.may_answer.set()
+        with suppress(ConnectionError):
+            assert b"0\r\n\r\n" not in await caller.reader.read()
+        await rig.until_idle()
+        assert {c.part for c in rig.gateway._part_crashes._parts.evidence()} == {
+            SHARED,
+            CRASHING,
+        }
+        caller.writer.close()
--- a/tools/standins/platform.py
+++ b/tools/standins/platform.py
@@ -332,6 +332,8 @@
         # Parts of prompts that crash it as it begins to respond, whatever else the
         # prompt contains.
         self.crashing_parts: frozenset[str] = frozenset()
+        # Whether it sends the first event of a stream before such a crash.
+        self.crashes_after_event = False
         self.n_crashes = 0
         # Called for a crash, instead of the reset of all connections.
         self.on_crash: Callable[[], None] | None = None
@@ -373,11 +375,24 @@
             return
         self.executed_calls.append(call)
         if shared_parts(call) & self.crashing_parts:
+            if self.crashes_after_event:
+                await self._begin_stream(call)
             await self.may_answer.wait()
             self.crash()
             return
         await self._run(call)
 
+    async def _begin_stream(self, call: Call) -> None:
+        headers = {
+            "X-Attempt-Id": call.headers.get("x-attempt-id", ""),
+            "X-Response-Seal": f"seal.{self.upstream_id}",
+            "transfer-encoding": "chunked",
+        }
+        await call.send(
+            h11.Response(status_code=200, headers=list(headers.items())),
+            h11.Data(data=b"id: 1\ndata: token 1\n\n"),
+        )
+
     def crash(self) -> None:
         """End as a process that crashes: all connections are reset."""
         self.n_crashes += 1
