Send evidence about prompt parts at once, the likely cause first

An idle gateway told its peers of a crash, or that a part is sound, only with its next heartbeat, up to a second later: nothing woke the reporter when the probe of the upstream had confirmed the crash. While a crash cut many requests, the part that had never been sound could wait behind all others, six to a message.

The reporter of evidence wakes the sender in one place, for its own evidence and for answers to that of peers; parts that were never sound go first, and what waits is bounded. Both new tests fail before and pass after.

--- a/src/pomelothread/gateway/part_crashes.py
+++ b/src/pomelothread/gateway/part_crashes.py
@@ -84,6 +84,8 @@
         self._logged_refused: frozenset[str] = frozenset()
         # Whether this gateway may send a request to try a refused part.
         self.may_try: Callable[[], bool] = lambda: False
+        # Called when there is something that peers have not been told yet.
+        self.on_news: Callable[[], None] = lambda: None
 
     @property
     def n_refused(self) -> int:
@@ -140,11 +142,13 @@
                 was_sound=self._parts.was_sound(crash.part),
             )
             self._start(self._store_if_suspected(crash))
+        self._announce_news()
 
     def observe_sound(self, job: Job, began_s: float) -> None:
         """Record that an upstream began to respond to a request and did not crash."""
         for part in self._parts.observe_sound(job.facts.shared_parts, began_s):
             self._start(self._delete_refuted(part))
+        self._announce_news()
 
     def receive(
         self, crashes: Iterable[PartCrashReport], sound: Iterable[SoundPart]
@@ -164,6 +168,11 @@
             )
         for part, age_s in sound:
             self._parts.merge_sound(part, now_s - age_s)
+        self._announce_news()
+
+    def _announce_news(self) -> None:
+        if self._parts.has_unreported:
+            self.on_news()
 
     def take_unreported(self) -> tuple[list[PartCrashReport], list[SoundPart]]:
         """Take the news that peers have not been told yet."""
--- a/src/pomelothread/gateway/reports.py
+++ b/src/pomelothread/gateway/reports.py
@@ -146,6 +146,7 @@
             Evidence of this gateway.
         """
         self._part_crashes = part_crashes
+        part_crashes.on_news = self._queue.load_changed.set
 
     async def run(self) -> None:
         """Report until cancelled."""
@@ -364,11 +365,8 @@
     def _receive_part_news(
         self, crashes: list[PartCrashReport], sound: list[SoundPart]
     ) -> None:
-        if self._part_crashes is None:
-            return
-        self._part_crashes.receive(crashes, sound)
-        if self._part_crashes.has_unreported:
-            self._queue.load_changed.set()
+        if self._part_crashes is not None:
+            self._part_crashes.receive(crashes, sound)
 
     def on_gossip(self, sender: Address, gossip: GossipMessage) -> None:
         """Process gossip of a peer."""
--- a/src/pomelothread/policy/crashing_parts.py
+++ b/src/pomelothread/policy/crashing_parts.py
@@ -58,6 +58,7 @@
 MAX_SUSPECTED_PARTS = 1_000
 MAX_CRASHES_OF_PART = 12
 MAX_CUTS_OF_UPSTREAM = 64
+MAX_UNREPORTED_CRASHES = 200
 
 
 @dataclass(frozen=True, slots=True)
@@ -195,7 +196,10 @@
                 crash = PartCrash(part, depth, start, cut.body, cut.sent_s, cut.cut_s)
                 if self.add(crash):
                     added.append(crash)
+        # The cause is most likely among the parts that have never been sound.
         self._unreported_crashes += added
+        self._unreported_crashes.sort(key=lambda crash: crash.part in self._sound_s)
+        del self._unreported_crashes[MAX_UNREPORTED_CRASHES:]
         return added
 
     def add(self, crash: PartCrash) -> bool:
--- a/tests/test_gateway_cells.py
+++ b/tests/test_gateway_cells.py
@@ -42,6 +42,10 @@
 RATE, BURST = 2_000.0, 2_000.0
 
 
+async def store_away(key, value):
+    return False
+
+
 class Node:
     """The reporter of one gateway, its peer table and its quotas, without a network."""
 
@@ -69,7 +73,7 @@
         )
         self.parts = CrashingParts()
         self.part_crashes = PartCrashReporter(
-            self.parts, None, fleet.clock, self.source
+            self.parts, store_away, fleet.clock, self.source
         )
         self.reporter.share_part_crashes(self.part_crashes)
         self.reporter.link.connection_made(Transport(fleet, self.address))
@@ -116,6 +120,34 @@
                     link.datagram_received(data, (sender.host, sender.port))
 
 
+async def test_evidence_about_a_prompt_part_does_not_wait_for_the_next_heartbeat():
+    fleet = Fleet(3)
+    fleet.simulate(2.0)
+    node, peer, _ = fleet.nodes
+    running = asyncio.ensure_future(node.reporter.run())
+    # Until it has sent what was due and waits for a change.
+    for _ in range(20):
+        fleet.clock.advance(0.005)
+        await asyncio.sleep(0)
+    fleet.in_flight.clear()
+    now_s = fleet.clock.monotonic_s()
+    start = UpstreamStart("engine-1", 1)
+    cut = CutRequest(("f", "d"), start, "body", now_s - 0.1, now_s)
+    node.parts.record_cut(cut)
+    node.part_crashes.record_refused_connection(start, now_s)
+    while not fleet.in_flight:
+        # Advances beyond the time in which changes are gathered.
+        fleet.clock.advance(0.02)
+        await asyncio.sleep(0)
+    elapsed_s = fleet.clock.monotonic_s() - now_s
+    running.cancel()
+    for sender, target, data in fleet.in_flight:
+        link = fleet.by_address[target].reporter.link
+        link.datagram_received(data, (sender.host, sender.port))
+    assert {report.part for report in peer.parts.evidence()} == {"f", "d"}
+    assert elapsed_s < HEARTBEAT_S / 2
+
+
 async def test_the_first_report_is_sent_at_once():
     fleet = Fleet(4)
     running = asyncio.ensure_future(fleet.nodes[3].reporter.run())
--- a/tests/test_policy_crashing_parts.py
+++ b/tests/test_policy_crashing_parts.py
@@ -328,6 +328,16 @@
         assert refused <= {"d"}
 
 
+def test_the_parts_that_were_never_sound_are_reported_first():
+    parts = CrashingParts()
+    prompts = [f"f s{n}" for n in range(20)]
+    for prompt in prompts:
+        parts.observe_sound(prompt.split(), 0.5)
+    apply(parts, crash(1, *prompts, "f d"))
+    reported, _ = parts.take_unreported(1, 0)
+    assert [report.part for report in reported] == ["d"]
+
+
 def test_reports_arrive_in_any_order_with_the_same_result():
     reports = [
         PartCrash(part, depth, UpstreamStart(f"engine-{n}", 1), f"b{n}", n - 0.5, n)
