--- a/tools/standins/platform.py
+++ b/tools/standins/platform.py
@@ -145,6 +145,10 @@
         """Offset of the next record."""
         return self.n_deleted + len(self.records)
 
+    def copy(self) -> "Topic":
+        """Return a topic with the same records."""
+        return Topic(list(self.records), self.n_deleted, dict(self.newest))
+
 
 class PlatformStore:
     """The platform's store: a log with topics, some of them keyed.
@@ -159,10 +163,13 @@
         Whether connections are reset after an append, instead of an answer.
     n_calls : int
         Number of calls received.
+    era : int
+        Stated in all answers; rises each time the store is restored from a copy.
     """
 
     def __init__(self) -> None:
         self._topics: dict[str, Topic] = {}
+        self.era = 1
         self._changed = asyncio.Event()
         self.is_down = False
         self.is_silent = False
@@ -189,6 +196,17 @@
         topic_log.n_deleted = topic_log.end
         topic_log.records.clear()
 
+    def copy(self) -> dict[str, Topic]:
+        """Return a copy of all topics, for `restore`."""
+        return {name: topic.copy() for name, topic in self._topics.items()}
+
+    def restore(self, copy: dict[str, Topic]) -> None:
+        """Lose everything that was written since a copy was made."""
+        self._topics = {name: topic.copy() for name, topic in copy.items()}
+        self.era += 1
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def _append(self, topic: str, content: bytes) -> int:
         topic_log = self._topics.setdefault(topic, Topic())
         offset = topic_log.end
@@ -207,7 +225,7 @@
         if self.is_silent:
             await asyncio.Event().wait()
         if self.is_down:
-            await call.respond(503)
+            await self._respond(call, 503)
         elif path == "/v1/log-newest":
             await self._handle_newest(call, query)
         elif path == "/v1/log-read":
@@ -215,7 +233,10 @@
         elif path == "/v1/log-append":
             await self._handle_append(call, query)
         else:
-            await call.respond(404)
+            await self._respond(call, 404)
+
+    async def _respond(self, call: Call, status: int, body: bytes = b"") -> None:
+        await call.respond(status, body, {"Store-Era": str(self.era)})
 
     async def _handle_newest(self, call: Call, query: dict[str, str]) -> None:
         topic = self._topics.setdefault(query["topic"], Topic())
@@ -225,26 +246,28 @@
             if v
         ]
         page = {"items": items, "has_more": False, "end": topic.end}
-        await call.respond(200, msgspec.json.encode(page))
+        await self._respond(call, 200, msgspec.json.encode(page))
 
     async def _handle_read(self, call: Call, query: dict[str, str]) -> None:
         topic = self._topics.setdefault(query["topic"], Topic())
         offset = int(query["from"])
         until_s = time.monotonic() + int(query.get("wait_ms", 0)) / 1000
-        while offset >= topic.end and time.monotonic() < until_s:
+        while offset == topic.end and time.monotonic() < until_s:
             try:
                 async with asyncio.timeout(until_s - time.monotonic()):
                     await self._changed.wait()
             except TimeoutError:
                 # No record arrived within the wait time of the request.
                 break
-        if offset < topic.n_deleted:
-            await call.respond(410, msgspec.json.encode({"first": topic.n_deleted}))
+            topic = self._topics.setdefault(query["topic"], Topic())
+        if not topic.n_deleted <= offset <= topic.end:
+            answer = {"first": topic.n_deleted}
+            await self._respond(call, 410, msgspec.json.encode(answer))
             return
         body = _BOUNDS.pack(topic.end, topic.n_deleted)
         for record in topic.records[offset - topic.n_deleted :]:
             body += _LENGTH.pack(len(record)) + record
-        await call.respond(200, body)
+        await self._respond(call, 200, body)
 
     async def _handle_append(self, call: Call, query: dict[str, str]) -> None:
         body, position, offset = call.body, 0, 0
@@ -257,7 +280,7 @@
             call.reset()
             return
         answer = {"offset": offset, "end": offset + 1}
-        await call.respond(200, msgspec.json.encode(answer))
+        await self._respond(call, 200, msgspec.json.encode(answer))
 
 
 _FILLER = b"a" * 16_000
