--- a/src/pomelothread/gateway/process.py
+++ b/src/pomelothread/gateway/process.py
@@ -67,6 +67,9 @@
 LISTEN_BACKLOG = 1_024
 
 
+MakeAdapter = Callable[[GatewaySettings, ConnectionPool], PlatformAdapter]
+
+
 class Gateway:
     """One gateway process.
 
@@ -86,7 +89,7 @@
         self,
         settings: GatewaySettings,
         clock: Clock,
-        make_adapter: Callable[[GatewaySettings, ConnectionPool], PlatformAdapter],
+        make_adapter: MakeAdapter,
         callers_listener: socket.socket | None = None,
     ) -> None:
         self._settings = settings
