Log and measure when the store has returned from an older copy

Cause: no log line names the era of the store or the offsets of a reader, so the hypotheses on the restored store cannot be told apart. Change: the client of the store reads the era from all answers; StoreEpoch keeps the newest one. No decision depends on it yet.

--- a/src/pomelothread/events.py
+++ b/src/pomelothread/events.py
@@ -376,6 +376,19 @@
         "read of %(feed)s abandoned, repeating it on a new connection: "
         "a peer has newer records",
     )
+    STORE_RESTORED = (
+        836,
+        logging.WARNING,
+        "the store has returned from an older copy: epoch %(epoch)s, "
+        "%(epoch_before)s before, learned from %(source)s",
+    )
+    FEED_READ_IN_EPOCH = (
+        837,
+        logging.INFO,
+        "%(feed)s read in full in epoch %(epoch)s of the store: %(n_records)s records "
+        "up to offset %(offset)s; read to offset %(offset_before)s in epoch "
+        "%(epoch_before)s",
+    )
     UPSTREAM_LISTED = (
         840,
         logging.INFO,
--- a/src/pomelothread/gateway/feeds.py
+++ b/src/pomelothread/gateway/feeds.py
@@ -75,10 +75,13 @@
         May be empty.
     next_offset : int
         Offset at which the next read continues.
+    epoch : int or None
+        Epoch of the store in which the offset is valid; None if the store has none.
     """
 
     records: tuple[KeyedRecord, ...]
     next_offset: int
+    epoch: int | None = None
 
 
 class KeyedFeed(Protocol):
@@ -142,6 +145,7 @@
         self._digest = digest
         self._on_read = on_read
         self._offset: int | None = None
+        self._epoch: int | None = None
         self._last_read_s = clock.monotonic_s()
         self._outage_since_s: float | None = None
         self._n_failures = 0
@@ -200,12 +204,13 @@
         match await self._read():
             case Success(Records() as records):
                 self._end_outage()
+                self._log_new_epoch(records)
                 if self._offset is None:
                     self._apply_all(records.records)
                 else:
                     for record in records.records:
                         self._apply_one(record)
-                self._offset = records.next_offset
+                self._offset, self._epoch = records.next_offset, records.epoch
                 self._record_read(started_s)
                 return True
             case Failure(FeedFault.EXPIRED):
@@ -216,6 +221,20 @@
                 self._record_failure()
                 return False
 
+    def _log_new_epoch(self, records: Records) -> None:
+        if self._epoch is None or records.epoch == self._epoch:
+            return
+        log_event(
+            _log,
+            Event.FEED_READ_IN_EPOCH,
+            feed=self._name,
+            epoch=records.epoch,
+            n_records=len(records.records),
+            offset=records.next_offset,
+            offset_before=self._offset,
+            epoch_before=self._epoch,
+        )
+
     async def _read(self) -> Result[Records, FeedFault]:
         try:
             async with asyncio.timeout(None) as self._read_timeout:
--- a/src/pomelothread/gateway/metrics.py
+++ b/src/pomelothread/gateway/metrics.py
@@ -47,6 +47,10 @@
         self.configuration = self._metrics.gauge(
             "gateway_configuration_version", "Version of the configuration in force."
         )
+        self.store_epoch = self._metrics.gauge(
+            "gateway_store_epoch",
+            "How often the store has returned from an older copy, as it counts.",
+        )
         self.limited_upstreams = self._metrics.gauge(
             "gateway_limited_upstreams", "Upstreams that limit the requests they take."
         )
--- a/src/pomelothread/gateway/process.py
+++ b/src/pomelothread/gateway/process.py
@@ -47,6 +47,7 @@
 from .reports import Reporter
 from .settings import GatewaySettings
 from .state import GatewayState
+from .store_epoch import StoreEpoch
 from .supervision import keep_running, on_callback_error, stop_process
 from .upstream_results import UpstreamResults
 from .upstreams import Upstream, UpstreamTable
@@ -67,7 +68,9 @@
 LISTEN_BACKLOG = 1_024
 
 
-MakeAdapter = Callable[[GatewaySettings, ConnectionPool], PlatformAdapter]
+MakeAdapter = Callable[
+    [GatewaySettings, ConnectionPool, Callable[[int], None]], PlatformAdapter
+]
 
 
 class Gateway:
@@ -101,7 +104,12 @@
         self._upstreams = UpstreamTable(settings.region, settings.regions)
         self._pool = ConnectionPool(clock)
         store_pool = ConnectionPool(clock, settings.store_times.connect_s)
-        self._adapter = make_adapter(settings, store_pool)
+        self._store_epoch = StoreEpoch()
+        self._adapter = make_adapter(
+            settings,
+            store_pool,
+            partial(self._store_epoch.observe, source="an answer of the store"),
+        )
         random_source = random.Random()
         self.metrics = GatewayMetrics(clock)
         self._queue = UpstreamQueue(self._upstreams, clock, random_source)
@@ -314,6 +322,9 @@
         metrics.configuration.labels().set_function(
             lambda: self.configuration_version or 0
         )
+        metrics.store_epoch.labels().set_function(
+            lambda: self._store_epoch.current or 0
+        )
 
     def _followers(self) -> tuple[Follower, ...]:
         configurations = Follower(
--- a/src/pomelothread/http1/client.py
+++ b/src/pomelothread/http1/client.py
@@ -203,6 +203,11 @@
         self._n_informational = 0
         self.is_complete = False
 
+    @property
+    def head(self) -> ResponseHead | None:
+        """Head of the response, once it has been read."""
+        return self._head
+
     @property
     def is_on_reused_connection(self) -> bool:
         """Whether an earlier exchange has used the connection."""
--- a/src/pomelothread/platform/link.py
+++ b/src/pomelothread/platform/link.py
@@ -1,5 +1,6 @@
 """Builds the platform adapter for the gateway."""
 
+from collections.abc import Callable
 from functools import partial
 
 from ..gateway.platform_link import PlatformAdapter
@@ -21,7 +22,11 @@
 READINESS_PATH = b"/v1/readiness"
 
 
-def make_adapter(settings: GatewaySettings, pool: ConnectionPool) -> PlatformAdapter:
+def make_adapter(
+    settings: GatewaySettings,
+    pool: ConnectionPool,
+    observe_epoch: Callable[[int], None],
+) -> PlatformAdapter:
     """Return the adapter of the platform.
 
     Parameters
@@ -30,8 +35,12 @@
         Settings of the gateway.
     pool : ConnectionPool
         Pool of connections to the store.
+    observe_epoch : callable
+        Called with the epoch that an answer of the store names.
     """
-    store = StoreClient(settings.store_address, pool, settings.store_times.answer_s)
+    store = StoreClient(
+        settings.store_address, pool, settings.store_times.answer_s, observe_epoch
+    )
     return PlatformAdapter(
         dialect=PlatformDialect(),
         configurations=TopicFeed(store, CONFIGURATION_TOPIC),
--- a/src/pomelothread/platform/store.py
+++ b/src/pomelothread/platform/store.py
@@ -4,6 +4,8 @@
 import base64
 import logging
 import struct
+from collections.abc import Callable
+from dataclasses import dataclass
 from urllib.parse import quote
 
 import msgspec
@@ -13,7 +15,7 @@
 from ..events import Event, log_event
 from ..gateway.feeds import FeedFault, KeyedRecord, Records
 from ..http1.client import ConnectionPool, Exchange, ExchangeFault
-from ..http1.messages import Headers, Request
+from ..http1.messages import Headers, Request, header
 
 _log = logging.getLogger(__name__)
 
@@ -25,6 +27,10 @@
 PART_CRASH_TOPIC = "keyed.part-crashes"
 QUOTA_TOPIC = "keyed.quotas"
 
+# Rises each time the store returns from an older copy.
+_EPOCH = b"store-era"
+MAX_EPOCH_DIGITS = 9
+
 # The store closes connections that are idle for longer; only reads reuse them.
 MAX_IDLE_S = 10.0
 # A page or a read holds at most 1 MB, which is 1.4 MB in base64 with its fields.
@@ -48,6 +54,15 @@
     has_more: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    """Answer of the store; status 0 if there is none."""
+
+    status: int = 0
+    body: bytes = b""
+    epoch: int | None = None
+
+
 class StoreClient:
     """Reads and appends records of the store.
 
@@ -59,12 +74,21 @@
         Pool for this client alone, so that long polls hold up no other requests.
     answer_s : float
         Timeout of a call, in addition to the time that a read asks to wait.
+    observe_epoch : callable
+        Called with the epoch that an answer names, before the answer is used.
     """
 
-    def __init__(self, address: Address, pool: ConnectionPool, answer_s: float) -> None:
+    def __init__(
+        self,
+        address: Address,
+        pool: ConnectionPool,
+        answer_s: float,
+        observe_epoch: Callable[[int], None] = lambda epoch: None,
+    ) -> None:
         self._address = address
         self._pool = pool
         self._answer_s = answer_s
+        self._observe_epoch = observe_epoch
 
     async def read_newest(self, topic: str) -> Result[Records, FeedFault]:
         """Return the newest record of each key of a topic."""
@@ -75,11 +99,11 @@
             target = f"/v1/log-newest?topic={topic}&part=0"
             if after:
                 target += f"&after={quote(after, safe='')}"
-            status, body = await self._call("GET", target, b"", self._answer_s)
-            if status != 200:
+            answer = await self._call("GET", target, b"", self._answer_s)
+            if answer.status != 200:
                 return Failure(FeedFault.UNAVAILABLE)
             try:
-                page = msgspec.json.decode(body, type=_NewestPage)
+                page = msgspec.json.decode(answer.body, type=_NewestPage)
                 records += [_decode_item(item) for item in page.items]
             except (msgspec.MsgspecError, ValueError) as error:
                 log_event(_log, Event.FEED_MALFORMED, feed=topic, detail=error)
@@ -88,7 +112,7 @@
             # page reads again what changed between them.
             end = page.end if end is None else end
             if not page.has_more or not page.items:
-                return Success(Records(tuple(records), end))
+                return Success(Records(tuple(records), end, answer.epoch))
             after = page.items[-1].key
         log_event(_log, Event.FEED_MALFORMED, feed=topic, detail="too many pages")
         return Failure(FeedFault.UNAVAILABLE)
@@ -100,16 +124,16 @@
         target = f"/v1/log-read?topic={topic}&part=0&from={offset}"
         if wait_s:
             target += f"&wait_ms={round(wait_s * 1000)}"
-        status, body = await self._call("GET", target, b"", wait_s + self._answer_s)
-        if status == 410:
+        answer = await self._call("GET", target, b"", wait_s + self._answer_s)
+        if answer.status == 410:
             return Failure(FeedFault.EXPIRED)
-        if status != 200:
+        if answer.status != 200:
             return Failure(FeedFault.UNAVAILABLE)
-        records = _decode_records(body)
+        records = _decode_records(answer.body)
         if records is None:
             log_event(_log, Event.FEED_MALFORMED, feed=topic, detail="truncated")
             return Failure(FeedFault.UNAVAILABLE)
-        return Success(Records(records, offset + len(records)))
+        return Success(Records(records, offset + len(records), answer.epoch))
 
     async def append(self, topic: str, key: str, value: bytes) -> bool:
         """Append one keyed record; return whether the store confirmed it."""
@@ -117,13 +141,12 @@
         content = bytes((len(name),)) + name + value
         body = _LENGTH.pack(len(content)) + content
         target = f"/v1/log-append?topic={topic}&part=0"
-        status, _ = await self._call("POST", target, body, self._answer_s)
-        return status == 200
+        answer = await self._call("POST", target, body, self._answer_s)
+        return answer.status == 200
 
     async def _call(
         self, method: str, target: str, body: bytes, timeout_s: float
-    ) -> tuple[int, bytes]:
-        """Make a call; return status and body, with status 0 if there is no answer."""
+    ) -> _Answer:
         # When a reused connection fails, the request may have been carried out.
         # Only reads may be repeated, so only they reuse connections.
         max_idle_s = MAX_IDLE_S if method == "GET" else 0.0
@@ -131,23 +154,26 @@
         request = Request(method.encode(), target.encode(), headers, body)
         connection = await self._pool.acquire(self._address, max_idle_s)
         if isinstance(connection, ExchangeFault):
-            return 0, b""
+            return _Answer()
         exchange = Exchange(connection, request, lambda _: True)
         try:
             async with asyncio.timeout(timeout_s):
                 exchange.send()
                 response = await exchange.read_whole(MAX_ANSWER_BYTES)
                 if isinstance(response, ExchangeFault):
-                    return 0, b""
-                return response
+                    return _Answer()
         except TimeoutError:
             # Not logged: the follower logs each outage once, instead of every call.
-            return 0, b""
+            return _Answer()
         finally:
             exchange.finish(self._pool, self._address)
             if not exchange.is_complete:
                 # The idle connections have most likely failed too; each would time out.
                 self._pool.close_idle(self._address)
+        epoch = _parse_epoch(exchange.head.headers if exchange.head else ())
+        if epoch is not None:
+            self._observe_epoch(epoch)
+        return _Answer(*response, epoch)
 
 
 class TopicFeed:
@@ -174,6 +200,12 @@
         return await self._client.read_from(self._topic, offset, wait_s)
 
 
+def _parse_epoch(headers: Headers) -> int | None:
+    value = header(headers, _EPOCH) or b""
+    is_valid = value.isdigit() and len(value) <= MAX_EPOCH_DIGITS
+    return int(value) if is_valid else None
+
+
 def _decode_item(item: _Item) -> KeyedRecord:
     if item.value is None:
         return KeyedRecord(item.key, None)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -291,11 +291,12 @@
         feed = TopicFeed(client, "keyed.x")
         store.put("keyed.x", "a", {"n": 1})
         newest = (await feed.read_newest()).unwrap()
-        assert newest == Records((KeyedRecord("a", b'{"n":1}'),), 1)
+        assert newest == Records((KeyedRecord("a", b'{"n":1}'),), 1, epoch=1)
         assert await client.append("keyed.x", "b", b"two")
         store.put("keyed.x", "a", None)
         after = (await feed.read_from(1, 0.0)).unwrap()
-        assert after == Records((KeyedRecord("b", b"two"), KeyedRecord("a", None)), 3)
+        records = (KeyedRecord("b", b"two"), KeyedRecord("a", None))
+        assert after == Records(records, 3, epoch=1)
         store.delete_history("keyed.x")
         assert (await feed.read_from(1, 0.0)).failure() is FeedFault.EXPIRED
 
@@ -325,7 +326,7 @@
         assert (await feed.read_newest()).failure() is FeedFault.UNAVAILABLE
         store.is_silent = False
         assert pool.n_opened == n_opened
-        assert (await feed.read_newest()).unwrap() == Records((), 0)
+        assert (await feed.read_newest()).unwrap() == Records((), 0, epoch=1)
         assert pool.n_opened == n_opened + 1
 
     await with_store(use, answer_s=0.05, needs_pool=True)
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -3,7 +3,6 @@
 import asyncio
 
 import pytest
-
 from platform_rig import configuration, gateway_rig, route
 
 CONFIGURATIONS = "keyed.op"
