Read a feed in full when the store has returned from an older copy

Callers saw routes answered 404 and departed upstreams used, seconds after the store had confirmed the change. Cause: an offset means something within one epoch of the store only. A reader kept its offset; 410 covers offsets past the end, but not those that are given out again, before which records were passed over in silence. Gateways compared such offsets with each other, so the newer state counted as the older one, and reports of the lost history postponed reads. Change: a read whose answer is of another epoch than its offset, or older than the newest epoch known, is not used; the next one is a full read. Pages of one full read must be of one epoch. Reports of peers carry the epoch, and it goes before the offset. Every message tells the newest epoch; a rise ends reads that wait at an offset of the lost history. In a large fleet the full reads are spread, 300 gateways a second.

--- a/src/pomelothread/gateway/feeds.py
+++ b/src/pomelothread/gateway/feeds.py
@@ -13,6 +13,7 @@
 from ..events import Event, log_event
 from ..policy.feed_sharing import FeedWatch
 from ..policy.store_calls import STALE_READ_TIMEOUT_S
+from .store_epoch import StoreEpoch
 
 _log = logging.getLogger(__name__)
 
@@ -46,6 +47,7 @@
     """Why a call to the store returned no records."""
 
     EXPIRED = "the records have been deleted"
+    RESTORED = "the store has returned from an older copy during the read"
     UNAVAILABLE = "no answer of the store"
 
 
@@ -120,6 +122,9 @@
         Returns a number that identifies the state that has been applied.
     on_read : callable
         Called after each successful read, if gateways share this feed.
+    store_epoch : StoreEpoch or None
+        Tells when the store has returned from a copy, after which the feed is read in
+        full.
     """
 
     def __init__(
@@ -134,6 +139,7 @@
         watch: FeedWatch | None = None,
         digest: Callable[[], int] = int,
         on_read: Callable[[], None] = lambda: None,
+        store_epoch: StoreEpoch | None = None,
     ) -> None:
         self._name = name
         self._feed = feed
@@ -144,7 +150,9 @@
         self._watch = watch
         self._digest = digest
         self._on_read = on_read
+        self._store_epoch = store_epoch or StoreEpoch()
         self._offset: int | None = None
+        self._read_to_offset: int | None = None
         self._epoch: int | None = None
         self._last_read_s = clock.monotonic_s()
         self._outage_since_s: float | None = None
@@ -163,6 +171,17 @@
             retry_s = self._watch.retry_s if self._watch else RETRY_PAUSE_S
             await self._clock.sleep(retry_s)
 
+    def follow_epoch(self) -> None:
+        """Read in full at once, if the store has returned from a copy since."""
+        if not self._store_epoch.is_over(self._epoch):
+            return
+        if self._watch is not None:
+            self._watch.record_epoch()
+        self._wake_event.set()
+        if self._read_timeout is not None and self._offset is not None:
+            # It waits at an offset of the lost history.
+            self._read_timeout.reschedule(asyncio.get_running_loop().time())
+
     def wake(self) -> None:
         """Read at once, as a peer has reported a newer state.
 
@@ -201,7 +220,14 @@
         started_s = self._clock.monotonic_s()
         if not self._wait_s and started_s - self._last_read_s > FULL_READ_AFTER_S:
             self._offset = None
+        if self._store_epoch.is_over(self._epoch):
+            self._offset = None
         match await self._read():
+            case Success(Records() as records) if self._is_of_lost_history(records):
+                # The next read asks for all records.
+                self._end_outage()
+                self._offset = None
+                return not self._store_epoch.is_over(records.epoch)
             case Success(Records() as records):
                 self._end_outage()
                 self._log_new_epoch(records)
@@ -210,17 +236,31 @@
                 else:
                     for record in records.records:
                         self._apply_one(record)
-                self._offset, self._epoch = records.next_offset, records.epoch
+                self._offset = self._read_to_offset = records.next_offset
+                self._epoch = records.epoch
                 self._record_read(started_s)
                 return True
             case Failure(FeedFault.EXPIRED):
                 log_event(_log, Event.FEED_EXPIRED, feed=self._name)
                 self._offset = None
                 return True
+            case Failure(FeedFault.RESTORED):
+                self._offset = None
+                return True
             case _:
                 self._record_failure()
                 return False
 
+    def _is_of_lost_history(self, records: Records) -> bool:
+        """Return whether the read spans a return of the store from a copy.
+
+        Either the answer is from before the return, or its offset was valid before and
+        now belongs to other records.
+        """
+        if self._store_epoch.is_over(records.epoch):
+            return True
+        return self._offset is not None and records.epoch != self._epoch
+
     def _log_new_epoch(self, records: Records) -> None:
         if self._epoch is None or records.epoch == self._epoch:
             return
@@ -231,7 +271,7 @@
             epoch=records.epoch,
             n_records=len(records.records),
             offset=records.next_offset,
-            offset_before=self._offset,
+            offset_before=self._read_to_offset,
             epoch_before=self._epoch,
         )
 
@@ -244,6 +284,8 @@
                 wait_s = 0.0 if self._outage_since_s is not None else self._wait_s
                 return await self._feed.read_from(self._offset, wait_s)
         except TimeoutError:
+            if self._store_epoch.is_over(self._epoch):
+                return Failure(FeedFault.RESTORED)
             log_event(_log, Event.FEED_OVERTAKEN, feed=self._name)
             return Failure(FeedFault.UNAVAILABLE)
         finally:
@@ -253,7 +295,9 @@
         self._last_read_s = now_s = self._clock.monotonic_s()
         if self._watch is not None and self._offset is not None:
             as_of_s = max(started_s, now_s - ANSWER_AGE_S)
-            self._watch.record_read(self._digest(), self._offset, as_of_s)
+            self._watch.record_read(
+                self._digest(), self._offset, as_of_s, self._epoch or 0
+            )
             self._on_read()
 
     def _apply_one(self, record: KeyedRecord) -> None:
--- a/src/pomelothread/gateway/peer_messages.py
+++ b/src/pomelothread/gateway/peer_messages.py
@@ -119,6 +119,8 @@
     sound_parts : list of (str, float)
         Parts that a peer may suspect, and how many seconds ago an upstream began to
         respond to a prompt with each of them and did not crash.
+    store_epoch : int
+        Newest epoch of the store that the sender knows; 0 if it knows none.
     """
 
     incarnation: str
@@ -138,6 +140,7 @@
     steady_s: float | None = None
     part_crashes: list[PartCrashReport] = []
     sound_parts: list[SoundPart] = []
+    store_epoch: int = 0
 
 
 class PermitRequest(msgspec.Struct, array_like=True, tag="permit-request"):
--- a/src/pomelothread/gateway/process.py
+++ b/src/pomelothread/gateway/process.py
@@ -64,6 +64,9 @@
 HOUSEKEEPING_S = 0.5
 # A process that has just started may not know of the gateways before it.
 MIN_UPTIME_TO_TRY_S = 10.0
+# When the store returns from a copy, all gateways read all feeds in full. With this
+# many gateways a second, they stay below the limit of the store's reads.
+FULL_READERS_PER_S = 300.0
 METRICS_PATH = b"/metrics"
 LISTEN_BACKLOG = 1_024
 
@@ -110,7 +113,7 @@
             store_pool,
             partial(self._store_epoch.observe, source="an answer of the store"),
         )
-        random_source = random.Random()
+        self._random = random_source = random.Random()
         self.metrics = GatewayMetrics(clock)
         self._queue = UpstreamQueue(self._upstreams, clock, random_source)
         self._crash_guard = CrashGuard()
@@ -181,6 +184,7 @@
         )
         self._reporter.share_permits(self._permits, self._coordinators)
         self._reporter.share_part_crashes(self._part_crashes)
+        self._reporter.share_store_epoch(self._store_epoch)
         self._configuration_watch = FeedWatch(
             _reading_times(CONFIGURATION_DUE_SHARES, settings.configuration_bound_s)
         )
@@ -279,6 +283,7 @@
         self.is_listening = True
         for follower in self._followers():
             self._start(keep_running(follower.run, self._clock))
+            self._store_epoch.on_rise(partial(self._schedule_full_read, follower))
         run_quota_notes = partial(
             self._quota_notes.run,
             self._state.configuration_received,
@@ -337,6 +342,7 @@
             watch=self._configuration_watch,
             digest=lambda: self.configuration_version or 0,
             on_read=self._queue.load_changed.set,
+            store_epoch=self._store_epoch,
         )
         listings = Follower(
             "upstreams",
@@ -348,6 +354,7 @@
             watch=self._listing_watch,
             digest=self._listings.digest,
             on_read=self._queue.load_changed.set,
+            store_epoch=self._store_epoch,
         )
         self._reporter.share_feeds(
             (self._configuration_watch, configurations.wake),
@@ -360,6 +367,7 @@
             apply_all=self._crashes.apply_all,
             apply=self._crashes.apply,
             wait_s=CRASH_FEED_POLL_S,
+            store_epoch=self._store_epoch,
         )
         part_crashes = Follower(
             "part crashes",
@@ -368,9 +376,15 @@
             apply_all=self._part_crashes.apply_all,
             apply=self._part_crashes.apply,
             wait_s=CRASH_FEED_POLL_S,
+            store_epoch=self._store_epoch,
         )
         return configurations, listings, crashes, part_crashes
 
+    def _schedule_full_read(self, follower: Follower) -> None:
+        """Let a feed be read in full soon, at another moment than other gateways."""
+        delay_s = self._random.random() * self._state.n_gateways / FULL_READERS_PER_S
+        asyncio.get_running_loop().call_later(delay_s, follower.follow_epoch)
+
     def _may_try_parts(self) -> bool:
         """Return whether this gateway tries refused parts for the whole fleet."""
         uptime_s = self._clock.monotonic_s() - self._started_s
--- a/src/pomelothread/gateway/reports.py
+++ b/src/pomelothread/gateway/reports.py
@@ -33,6 +33,7 @@
 from .permits import PermitExchange
 from .queue import UpstreamQueue
 from .state import GatewayState
+from .store_epoch import StoreEpoch
 from .upstreams import Upstream, UpstreamTable
 
 _log = logging.getLogger(__name__)
@@ -109,6 +110,8 @@
         self._feeds: tuple[tuple[FeedWatch, Callable[[], None]], ...] = ()
         self._coordinators: CoordinatorChoice | None = None
         self._part_crashes: PartCrashReporter | None = None
+        self._store_epoch = StoreEpoch()
+        self._sent_epoch: int | None = None
         self.link = PeerLink(peers, self.on_message, self.on_gossip)
 
     def share_feeds(self, *feeds: tuple[FeedWatch, Callable[[], None]]) -> None:
@@ -121,6 +124,11 @@
         """
         self._feeds = feeds
 
+    def share_store_epoch(self, store_epoch: StoreEpoch) -> None:
+        """Tell peers at once that the store has returned from an older copy."""
+        self._store_epoch = store_epoch
+        store_epoch.on_rise(self._queue.load_changed.set)
+
     def share_permits(
         self, permits: PermitExchange, coordinators: CoordinatorChoice
     ) -> None:
@@ -214,6 +222,7 @@
             limits = self._upstreams.rate_limits.take_unreported(MAX_LIMITS, now_s)
             used = {k: v for k, v in used.items() if v != self._sent_used.get(k)}
             has_news = self._has_news() or self._has_part_news()
+            has_news = has_news or self._store_epoch.current != self._sent_epoch
             has_notices = bool(crashes or leaving or limits or has_news)
             is_same = not (loads or used or has_notices)
             if is_same and waiting == self._sent_waiting:
@@ -221,6 +230,7 @@
         self._sent_loads = current
         self._sent_used.update(used)
         self._sent_waiting = waiting
+        self._sent_epoch = self._store_epoch.current
         self._sequence += 1
         part_crashes, sound_parts = self._part_news(is_heartbeat)
         return PeerMessage(
@@ -244,6 +254,7 @@
             self._steady_s() if is_heartbeat else None,
             part_crashes,
             sound_parts,
+            self._sent_epoch or 0,
         )
 
     def _has_part_news(self) -> bool:
@@ -299,6 +310,9 @@
         """Process a message of a peer."""
         now_s = self._clock.monotonic_s()
         self._state.last_peer_message_s = now_s
+        if message.store_epoch:
+            source = f"gateway {peer.incarnation}"
+            self._store_epoch.observe(message.store_epoch, source)
         self._state.n_gateways = len(self._peers) + 1
         if self._peers.n_cells > 1:
             self._state.n_gateways = len(self._peers.alive()) + 1
--- a/src/pomelothread/platform/store.py
+++ b/src/pomelothread/platform/store.py
@@ -94,7 +94,8 @@
         """Return the newest record of each key of a topic."""
         records: list[KeyedRecord] = []
         after = ""
-        end: int | None = None
+        first: _Answer | None = None
+        end = 0
         for _ in range(MAX_PAGES):
             target = f"/v1/log-newest?topic={topic}&part=0"
             if after:
@@ -102,6 +103,8 @@
             answer = await self._call("GET", target, b"", self._answer_s)
             if answer.status != 200:
                 return Failure(FeedFault.UNAVAILABLE)
+            if first is not None and answer.epoch != first.epoch:
+                return Failure(FeedFault.RESTORED)
             try:
                 page = msgspec.json.decode(answer.body, type=_NewestPage)
                 records += [_decode_item(item) for item in page.items]
@@ -110,7 +113,8 @@
                 return Failure(FeedFault.UNAVAILABLE)
             # The pages are not one snapshot. Following from the end of the first
             # page reads again what changed between them.
-            end = page.end if end is None else end
+            if first is None:
+                first, end = answer, page.end
             if not page.has_more or not page.items:
                 return Success(Records(tuple(records), end, answer.epoch))
             after = page.items[-1].key
--- a/src/pomelothread/policy/feed_sharing.py
+++ b/src/pomelothread/policy/feed_sharing.py
@@ -6,6 +6,9 @@
 is told in time that nothing has changed does not read the feed; one that is told
 of a change reads it at once.
 
+When the store returns from an older copy, its offsets go back. They are compared only
+within one epoch of the store; a state of a later epoch is always the newer one.
+
 There is no leader election. All gateways sort each other by hashed name, and the
 later a gateway is in this order, the longer it waits before it reads. If the
 gateways before it have ended, or cannot reach the store or this gateway, their
@@ -47,6 +50,8 @@
         the last outage.
     outage_s : float
         Duration of that outage; 0.0 if there was none.
+    epoch : int
+        Epoch of the store in which the offset is valid; 0 if the store has none.
     """
 
     digest: int
@@ -54,6 +59,7 @@
     age_s: float
     steady_s: float = 0.0
     outage_s: float = 0.0
+    epoch: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,6 +132,7 @@
     __slots__ = (
         "_as_of_s",
         "_digest",
+        "_epoch",
         "_is_behind",
         "_offset",
         "_outage_s",
@@ -140,6 +147,7 @@
         self._times = times
         self._digest = 0
         self._offset = -1
+        self._epoch = 0
         self._as_of_s: float | None = None
         self._is_behind = False
         self._store_recovered_at_s: float | None = None
@@ -178,7 +186,13 @@
         """
         return self._store_recovered_at_s
 
-    def record_read(self, digest: int, offset: int, as_of_s: float) -> None:
+    def record_epoch(self) -> None:
+        """Record that the store has returned from a copy, so the state is outdated."""
+        self._is_behind = self._as_of_s is not None
+
+    def record_read(
+        self, digest: int, offset: int, as_of_s: float, epoch: int = 0
+    ) -> None:
         """Record a successful read.
 
         Parameters
@@ -189,10 +203,12 @@
             End offset of what was read.
         as_of_s : float
             Monotonic time at which this was the newest state.
+        epoch : int
+            Epoch of the store in which the offset is valid.
         """
         if self._as_of_s is None:
             self._steady_since_s = as_of_s
-        self._digest, self._offset = digest, offset
+        self._digest, self._offset, self._epoch = digest, offset, epoch
         self._as_of_s = as_of_s
         self._is_behind = False
         self.has_unsent_report = True
@@ -219,8 +235,12 @@
             once.
         """
         self._infer_outage(report, now_s)
-        if self._as_of_s is None or report.offset < self._offset:
+        position = (report.epoch, report.offset)
+        if self._as_of_s is None or position < (self._epoch, self._offset):
             return False
+        if report.epoch > self._epoch:
+            self._is_behind = True
+            return True
         if report.digest == self._digest:
             as_of_s = now_s - max(0.0, report.age_s) - REPORT_DELAY_S
             self._as_of_s = max(self._as_of_s, as_of_s)
@@ -260,4 +280,5 @@
             round(now_s - self._as_of_s, 2),
             round(now_s - self._steady_since_s, 2),
             round(self._outage_s, 2),
+            self._epoch,
         )
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -1,9 +1,19 @@
 """Tests that nothing is lost or goes back when the store returns from an older copy."""
 
 import asyncio
+from datetime import UTC, datetime
 
 import pytest
-from platform_rig import configuration, gateway_rig, route
+from platform_rig import configuration, gateway_rig, route, second_gateway
+from returns.result import Success
+
+from pomelothread.addresses import Address
+from pomelothread.clock import ManualClock, SystemClock
+from pomelothread.gateway.feeds import FeedFault, Follower, KeyedRecord, Records
+from pomelothread.gateway.store_epoch import StoreEpoch
+from pomelothread.http1.client import ConnectionPool
+from pomelothread.platform.store import StoreClient, TopicFeed
+from pomelothread.policy.feed_sharing import FeedReport, FeedWatch, ReadingTimes
 
 CONFIGURATIONS = "keyed.op"
 LISTINGS = "keyed.servers"
@@ -13,7 +23,9 @@
 
 def versioned(version, *names):
     """Return a configuration with a route for each name."""
-    return configuration(version, [route(), *(route(n, service="desk") for n in names)])
+    return configuration(
+        version, [route(), *(route(n, "idempotent", "desk") for n in names)]
+    )
 
 
 def put_version(rig, version, *names):
@@ -63,3 +75,140 @@
             rig.store.put(LISTINGS, "desk-9", desk.store_entry())
         await until_calls(rig, lambda: rig.gateway.is_leaving("engine-0"))
         assert rig.gateway.is_leaving("engine-0")
+
+
+async def test_peers_tell_that_the_store_has_returned_from_a_copy():
+    async with gateway_rig() as first, second_gateway(first) as second:
+        copy = first.store.copy()
+        put_version(first, 2)
+        await until_version(first, 2)
+        await until_version(second, 2)
+        first.store.restore(copy)
+        put_version(first, 2)
+        put_version(first, 3, "added")
+        for rig in (first, second):
+            await until_calls(
+                first, lambda rig=rig: rig.gateway.configuration_version == 3
+            )
+            assert (await rig.call("/added/1")).status == 200
+
+
+class FeedOfEpochs:
+    """Feed whose answers name the given epochs, one for each call."""
+
+    def __init__(self, store_epoch, *epochs):
+        self.store_epoch = store_epoch
+        self.epochs = list(epochs)
+
+    def answer(self, records, offset):
+        epoch = self.epochs.pop(0)
+        if epoch is not None:
+            self.store_epoch.observe(epoch, "an answer")
+        return Success(Records(records, offset, epoch))
+
+    async def read_newest(self):
+        return self.answer((), 10)
+
+    async def read_from(self, offset, wait_s):
+        return self.answer((KeyedRecord("a", b"1"),), offset + 1)
+
+
+@pytest.mark.parametrize(
+    ("epochs", "n_full", "n_applied"),
+    [
+        ((1, 1, 1), 1, 2),
+        # The second read is answered after the return; its record may be any.
+        ((1, 2, 2), 2, 0),
+        # The answer to the second read is late; the third one is a full read.
+        ((2, 1, 2), 2, 0),
+        ((1, 2, 1, 2), 2, 0),
+        ((None, None, None), 1, 2),
+        ((None, 1, 1), 2, 0),
+    ],
+)
+def test_only_records_of_the_current_epoch_are_applied(epochs, n_full, n_applied):
+    store_epoch, applied = StoreEpoch(), []
+    feed = FeedOfEpochs(store_epoch, *epochs)
+    full = []
+
+    async def scenario():
+        follower = Follower(
+            "configuration",
+            feed,
+            ManualClock(datetime(2026, 3, 1, tzinfo=UTC)),
+            apply_all=full.append,
+            apply=applied.append,
+            wait_s=1.0,
+            store_epoch=store_epoch,
+        )
+        while feed.epochs:
+            await follower.step()
+
+    asyncio.run(scenario())
+    assert (len(full), len(applied)) == (n_full, n_applied)
+
+
+REPORTS = [
+    # Own epoch and offset, then those that a peer reports, and whether to read at once.
+    ((1, 10), (1, 11), True),
+    ((1, 10), (1, 9), False),
+    ((1, 10), (2, 3), True),
+    ((2, 3), (1, 10), False),
+    ((2, 3), (2, 4), True),
+]
+
+
+@pytest.mark.parametrize("digest", [7, 8])
+@pytest.mark.parametrize(("own", "reported", "is_behind"), REPORTS)
+def test_offsets_of_peers_are_compared_within_one_epoch(
+    own, reported, is_behind, digest
+):
+    watch = FeedWatch(ReadingTimes(2.0, 2.5, 3.0))
+    watch.record_read(7, own[1], as_of_s=100.0, epoch=own[0])
+    due_at_s = watch.due_at_s
+    report = FeedReport(digest, reported[1], age_s=0.0, epoch=reported[0])
+    is_same_state = digest == 7 and reported[0] == own[0]
+    assert watch.observe_report(report, 101.0) is (is_behind and not is_same_state)
+    if reported < own:
+        # A state of the lost history does not postpone the read.
+        assert watch.due_at_s == due_at_s
+    assert watch.report(101.0).epoch == own[0]
+
+
+async def test_a_full_read_whose_pages_span_the_return_is_not_used():
+    async def two_pages(reader, writer):
+        for era, more in ((1, True), (2, False)):
+            await reader.readuntil(b"\r\n\r\n")
+            page = b'{"items":[{"key":"k"}],"end":9,"has_more":%s}'
+            body = page % (b"true" if more else b"false")
+            head = "HTTP/1.1 200 OK\r\nStore-Era: %d\r\nContent-Length: %d\r\n\r\n"
+            writer.write((head % (era, len(body))).encode() + body)
+        writer.close()
+
+    server = await asyncio.start_server(two_pages, "127.0.0.1", 0)
+    address = Address(*server.sockets[0].getsockname())
+    client = StoreClient(address, ConnectionPool(SystemClock()), 5.0)
+    result = await TopicFeed(client, "keyed.x").read_newest()
+    assert result.failure() is FeedFault.RESTORED
+    server.close()
+
+
+@pytest.mark.parametrize(
+    ("header", "observed"),
+    [(b"3", [3]), (b"", []), (b"-1", []), (b"1.5", []), (b"9" * 40, []), (b"x", [])],
+)
+async def test_an_epoch_that_is_no_small_number_counts_as_none(header, observed):
+    async def answer(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(
+            b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\nStore-Era: %s\r\n\r\n" % header
+        )
+        writer.close()
+
+    server = await asyncio.start_server(answer, "127.0.0.1", 0)
+    address = Address(*server.sockets[0].getsockname())
+    epochs = []
+    client = StoreClient(address, ConnectionPool(SystemClock()), 5.0, epochs.append)
+    assert (await client.read_newest("keyed.x")).failure() is FeedFault.UNAVAILABLE
+    assert epochs == observed
+    server.close()
