Date the end of an outage of the store by the first gateway that is answered

Callers' requests reached upstreams up to 3.3 s after those were gone from the list (3.0 s allowed). Cause: for 2.5 s after an outage, upstreams that are missing from the list are kept, as live ones are listed again within 2 s. A gateway dated the end of the outage at its own next read of the list. It needs no loss of records, only an outage. Change: peers report since when the store has answered them; the earliest such time after the start of the own outage is its end.

--- a/src/pomelothread/gateway/feeds.py
+++ b/src/pomelothread/gateway/feeds.py
@@ -330,4 +330,6 @@
         self._n_failures += 1
         if self._outage_since_s is None:
             self._outage_since_s = self._clock.monotonic_s()
+            if self._watch is not None:
+                self._watch.record_outage(self._outage_since_s)
             log_event(_log, Event.FEED_LOST, feed=self._name)
--- a/src/pomelothread/policy/feed_sharing.py
+++ b/src/pomelothread/policy/feed_sharing.py
@@ -136,6 +136,8 @@
         "_is_behind",
         "_offset",
         "_outage_s",
+        "_outage_since_s",
+        "_peers_answered_s",
         "_steady_since_s",
         "_store_recovered_at_s",
         "_times",
@@ -152,6 +154,9 @@
         self._is_behind = False
         self._store_recovered_at_s: float | None = None
         self._outage_s = 0.0
+        self._outage_since_s: float | None = None
+        # Time at which the store answered a peer again, during an outage.
+        self._peers_answered_s: float | None = None
         self._steady_since_s = 0.0
         self.rank = 0
         self.has_unsent_report = False
@@ -213,10 +218,23 @@
         self._is_behind = False
         self.has_unsent_report = True
 
+    def record_outage(self, now_s: float) -> None:
+        """Record that the store has stopped answering."""
+        self._outage_since_s = now_s
+        self._peers_answered_s = None
+
     def record_recovery(self, now_s: float, outage_s: float) -> None:
-        """Record that the store answers again after an outage."""
-        self._store_recovered_at_s = self._steady_since_s = now_s
-        self._outage_s = outage_s
+        """Record that the store answers again after an outage.
+
+        It has recovered when it answered the first peer again. Reports of peers may
+        have postponed the own read until long after that.
+        """
+        recovered_s = now_s
+        if self._peers_answered_s is not None:
+            recovered_s = min(now_s, self._peers_answered_s)
+        self._store_recovered_at_s = self._steady_since_s = recovered_s
+        self._outage_s = outage_s - (now_s - recovered_s)
+        self._outage_since_s = None
 
     def observe_report(self, report: FeedReport, now_s: float) -> bool:
         """Evaluate the report of a peer.
@@ -254,6 +272,9 @@
     def _infer_outage(self, report: FeedReport, now_s: float) -> None:
         """Infer whether the store had an outage or only one gateway was cut off."""
         peer_since_s = now_s - report.steady_s
+        if self._outage_since_s is not None and peer_since_s > self._outage_since_s:
+            answered_s = self._peers_answered_s
+            self._peers_answered_s = min(peer_since_s, answered_s or peer_since_s)
         if (
             self._store_recovered_at_s is not None
             and peer_since_s < self._store_recovered_at_s - self._outage_s
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -31,7 +31,7 @@
 from pomelothread.platform.headers import PlatformDialect
 from pomelothread.platform.records import decode_configuration, decode_listing
 from pomelothread.platform.store import StoreClient, TopicFeed
-from pomelothread.policy.feed_sharing import FeedWatch, ReadingTimes
+from pomelothread.policy.feed_sharing import FeedReport, FeedWatch, ReadingTimes
 from standins.platform import PlatformStore
 
 BOOT = """
@@ -408,6 +408,36 @@
     assert [u.listing.upstream_id for u in table.all()] == ["back"]
 
 
+def test_a_departure_is_not_kept_for_an_outage_that_ended_long_before_the_read():
+    clock = ManualClock(datetime(2026, 3, 1, tzinfo=UTC))
+    watch = FeedWatch(ReadingTimes(1.0, 1.2, 1.4))
+    table, sync = make_listing_sync(clock, lambda: watch.store_recovered_at_s)
+    feed = ScriptedFeed(
+        Success(Records((entry("engine"),), 3)),
+        Failure(FeedFault.UNAVAILABLE),
+        Success(Records((KeyedRecord("engine", None),), 4)),
+    )
+    follower = Follower(
+        "upstreams", feed, clock, apply_all=sync.apply_all, apply=sync.apply,
+        wait_s=0.0, watch=watch, digest=sync.digest,
+    )  # fmt: skip
+
+    async def scenario():
+        await follower.step()
+        await follower.step()
+        clock.advance(2.0)
+        # The store answers the peer again, and nothing has changed.
+        for steady_s in (0.0, 1.0, 2.0, 3.0, 4.0):
+            report = FeedReport(sync.digest(), 3, 0.0, steady_s, outage_s=2.0)
+            watch.observe_report(report, clock.monotonic_s())
+            clock.advance(1.0)
+        await follower.step()
+
+    asyncio.run(scenario())
+    assert watch.store_recovered_at_s == 2.0
+    assert list(table.all()) == []
+
+
 class InstantSleepClock(ManualClock):
     """Clock whose `sleep` returns immediately and is counted."""
 
