Keep what is known of upstreams when the store's copy is older

Cause: the list of a copy has upstreams that have ended since as ready, those that were leaving as ready, and lacks those that were listed since, until each writes again. The first two got requests again; the third were taken away. Change: policy/listing_history compares start and number of reports; in a full read after a return, an older record of an upstream is not used, nor one of an upstream that has ended. Missing ones are kept as long as after an outage. Heartbeats name upstreams that the list shows as leaving, so that a process that has only read the copy learns of them.

--- a/src/pomelothread/gateway/listings.py
+++ b/src/pomelothread/gateway/listings.py
@@ -6,6 +6,7 @@
 from ..clock import Clock
 from ..events import Event, log_event
 from ..policy.cells import name_hash
+from ..policy.listing_history import ListingHistory
 from .feeds import EXPIRED_LISTING_GRACE_S, KeyedRecord
 from .upstreams import Upstream, UpstreamListing, UpstreamTable
 
@@ -47,8 +48,15 @@
         # When upstreams are removed whose listings expired during an outage.
         self._expired_until_s: dict[str, float] = {}
         self._hashes: dict[str, int] = {}
+        self._history = ListingHistory()
+        # Time at which the store returned from an older copy.
+        self._restored_at_s: float | None = None
         self.has_been_read = False
 
+    def record_epoch(self) -> None:
+        """Record that the store has returned from an older copy."""
+        self._restored_at_s = self._clock.monotonic_s()
+
     def digest(self) -> int:
         """Return a hash of the list as the platform has it."""
         digest = 0
@@ -58,11 +66,11 @@
 
     def apply_all(self, records: tuple[KeyedRecord, ...]) -> None:
         """Replace the whole list."""
-        present = set()
+        present = {record.key for record in records if record.value is not None}
+        self._hashes = {k: h for k, h in self._hashes.items() if k in present}
         for record in records:
             if record.value is not None:
-                present.add(record.key)
-                self._put(record)
+                self._put(record, may_be_outdated=self._restored_at_s is not None)
         missing = [
             upstream.listing.upstream_id
             for upstream in list(self._table.all())
@@ -83,17 +91,26 @@
     def remove_expired(self) -> None:
         """Remove upstreams that were not listed again after an outage of the store."""
         now_s = self._clock.monotonic_s()
-        had_outage = self._store_recovered_at_s() is not None
+        had_outage = self._recovered_at_s() is not None
         for upstream_id, until_s in list(self._expired_until_s.items()):
             if now_s >= until_s or not had_outage:
                 self._remove(upstream_id)
 
-    def _put(self, record: KeyedRecord) -> None:
+    def _recovered_at_s(self) -> float | None:
+        """Return when the store answered again or returned from a copy, if it did."""
+        times_s = (self._store_recovered_at_s(), self._restored_at_s)
+        return max((at_s for at_s in times_s if at_s is not None), default=None)
+
+    def _put(self, record: KeyedRecord, may_be_outdated: bool = False) -> None:
         listing = self._decode(record)
         if listing is None:
             return
-        self._expired_until_s.pop(listing.upstream_id, None)
         self._hashes[listing.upstream_id] = _listing_hash(listing)
+        start, n_reports = listing.start, listing.n_reports
+        if may_be_outdated and self._history.is_outdated(start, n_reports):
+            return
+        self._history.record(start, n_reports)
+        self._expired_until_s.pop(listing.upstream_id, None)
         known = self._table.get(listing.upstream_id)
         was_leaving = known is not None and known.listing.is_leaving
         is_new = self._table.put(listing) is not None
@@ -109,10 +126,10 @@
             self._on_change(())
 
     def _remove_or_defer(self, upstream_id: str) -> None:
+        self._hashes.pop(upstream_id, None)
         if self._table.get(upstream_id) is None:
             return
-        self._hashes.pop(upstream_id, None)
-        recovered_at_s = self._store_recovered_at_s()
+        recovered_at_s = self._recovered_at_s()
         if recovered_at_s is not None:
             kept_until_s = recovered_at_s + EXPIRED_LISTING_GRACE_S
             if self._clock.monotonic_s() < kept_until_s:
@@ -122,6 +139,7 @@
 
     def _remove(self, upstream_id: str) -> None:
         self._expired_until_s.pop(upstream_id, None)
+        self._history.record_end(upstream_id)
         upstream = self._table.remove(upstream_id)
         if upstream is not None:
             log_event(_log, Event.UPSTREAM_UNLISTED, upstream=upstream_id)
--- a/src/pomelothread/gateway/process.py
+++ b/src/pomelothread/gateway/process.py
@@ -198,6 +198,7 @@
             self._on_listing,
             lambda: self._listing_watch.store_recovered_at_s,
         )
+        self._store_epoch.on_rise(self._listings.record_epoch)
         self._connections: set[CallerConnection] = set()
         # Also includes streams whose written data is not fully sent yet.
         self._open_streams: set[ByteStream] = set()
--- a/src/pomelothread/gateway/upstreams.py
+++ b/src/pomelothread/gateway/upstreams.py
@@ -38,6 +38,9 @@
     started_ms : int
         Unix time of its start in milliseconds. A new value means that it has
         restarted and lost its state.
+    n_reports : int
+        Number of reports that this start has written, to tell an older record from a
+        newer one. It is not compared.
     """
 
     upstream_id: str
@@ -47,6 +50,7 @@
     n_slots: int
     is_leaving: bool
     started_ms: int
+    n_reports: int = field(default=0, compare=False)
 
     @property
     def start(self) -> UpstreamStart:
@@ -290,10 +294,8 @@
         return self._departures.take_unreported(limit)
 
     def listed_departures(self, limit: int) -> list[UpstreamStart]:
-        """Return up to `limit` departures of upstreams that are still listed."""
-        listed = [
-            u.listing.start for u in self._by_id.values() if u.has_announced_leaving
-        ]
+        """Return up to `limit` upstreams that are leaving and are still listed."""
+        listed = [u.listing.start for u in self._by_id.values() if u.is_leaving]
         return listed[-limit:]
 
     def rate_limit_per_s(self, start: UpstreamStart) -> float | None:
--- a/src/pomelothread/platform/records.py
+++ b/src/pomelothread/platform/records.py
@@ -96,6 +96,8 @@
     state: str
     # Unix time of its start in milliseconds.
     born: int
+    # Number of its reports since then.
+    seq: int = 0
 
 
 def decode_configuration(value: bytes) -> Result[Configuration, str]:
@@ -162,6 +164,7 @@
         n_slots=server.slots,
         is_leaving=server.state == "draining",
         started_ms=server.born,
+        n_reports=server.seq,
     )
 
 
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -3,15 +3,25 @@
 import asyncio
 from datetime import UTC, datetime
 
+import msgspec
 import pytest
 from platform_rig import configuration, gateway_rig, route, second_gateway
 from returns.result import Success
 
 from pomelothread.addresses import Address
 from pomelothread.clock import ManualClock, SystemClock
-from pomelothread.gateway.feeds import FeedFault, Follower, KeyedRecord, Records
+from pomelothread.gateway.feeds import (
+    EXPIRED_LISTING_GRACE_S,
+    FeedFault,
+    Follower,
+    KeyedRecord,
+    Records,
+)
+from pomelothread.gateway.listings import ListingSync
 from pomelothread.gateway.store_epoch import StoreEpoch
+from pomelothread.gateway.upstreams import UpstreamTable
 from pomelothread.http1.client import ConnectionPool
+from pomelothread.platform.records import decode_listing
 from pomelothread.platform.store import StoreClient, TopicFeed
 from pomelothread.policy.feed_sharing import FeedReport, FeedWatch, ReadingTimes
 
@@ -212,3 +222,65 @@
     assert (await client.read_newest("keyed.x")).failure() is FeedFault.UNAVAILABLE
     assert epochs == observed
     server.close()
+
+
+LISTING = {
+    "service": "desk", "address": "127.0.0.1:9", "zone": "z", "slots": 4,
+    "state": "ready", "seq": 5, "born": 100,
+}  # fmt: skip
+
+
+def listed(upstream_id, **change):
+    return KeyedRecord(upstream_id, msgspec.json.encode({**LISTING, **change}))
+
+
+# Last record before the return, record in the copy, and whether the upstream gets
+# requests after the copy has been read.
+RECORDS = [
+    (listed("u", state="draining", seq=6), listed("u"), False),
+    (listed("u", seq=6), listed("u"), True),
+    # It has ended.
+    (KeyedRecord("u", None), listed("u"), False),
+    # It has written again.
+    (KeyedRecord("u", None), listed("u", seq=7), True),
+    # The copy has an earlier start of it.
+    (listed("u", born=200, seq=1), listed("u", state="draining", seq=4), True),
+    # It has started again since.
+    (listed("u", state="draining", seq=6), listed("u", born=300, seq=1), True),
+    # It was listed after the copy was made.
+    (listed("u", seq=6), None, True),
+]
+
+
+@pytest.mark.parametrize(("known", "copied", "is_used"), RECORDS)
+def test_a_list_from_a_copy_does_not_undo_what_is_known(known, copied, is_used):
+    clock = ManualClock(datetime(2026, 3, 1, tzinfo=UTC))
+    table = UpstreamTable("r", {"z": "r"})
+    sync = ListingSync(table, clock, decode_listing, lambda gone: None)
+    sync.apply_all((listed("u"),))
+    sync.apply(known)
+    sync.record_epoch()
+    sync.apply_all((copied,) if copied else ())
+    upstream = table.get("u")
+    assert (upstream is not None and not upstream.is_leaving) is is_used
+    clock.advance(EXPIRED_LISTING_GRACE_S)
+    sync.remove_expired()
+    assert (table.get("u") is None) is (copied is None or upstream is None)
+    # What an upstream writes itself after the return holds, whatever was known.
+    sync.apply(listed("u", seq=1))
+    assert not table.get("u").is_leaving
+
+
+async def test_a_gateway_that_starts_learns_of_departures_that_the_copy_lacks():
+    async with gateway_rig(leaving_bound_s=60.0) as first:
+        copy = first.store.copy()
+        engine = first.upstreams["engine-0"]
+        entry = {**engine.store_entry("draining"), "seq": 2}
+        first.store.put(LISTINGS, "engine-0", entry)
+        while not first.gateway.is_leaving("engine-0"):
+            await asyncio.sleep(0.01)
+        first.store.restore(copy)
+        async with second_gateway(first) as second:
+            while not second.gateway.is_leaving("engine-0"):
+                await asyncio.sleep(0.01)
+        assert first.gateway.is_leaving("engine-0")
