Let no process decide by a configuration that is older than its peers'

Cause: the copy that a store returns from may hold an older configuration. Running processes keep theirs, but one that starts just then knows only the copy, with routes that have been added since missing and keys revoked since valid. And a version number that is known may come again with another content, which was ignored. Change: policy/configuration_versions. A process that has never had as new a version as a live peer answers 503 and is not ready until it has; one that has had it goes on. In a later epoch of the store the same version with another content is put in force. Peers name their version in every message. Result: a gateway that starts on the copy answered 404 for a route that its peer serves; it answers 503 and serves it once the operator has written it again.

--- a/src/pomelothread/gateway/admission.py
+++ b/src/pomelothread/gateway/admission.py
@@ -112,7 +112,7 @@
     def _check_and_admit(
         self, request: Request, facts: CallerFacts, arrived_s: float
     ) -> Result[Job, NotRun]:
-        configuration = self._state.configuration
+        configuration = self._state.usable_configuration
         if configuration is None:
             return Failure(
                 NotRun(Reason.NO_UPSTREAM, "not started yet", DEFAULT_RETRY_AFTER_S)
--- a/src/pomelothread/gateway/peer_messages.py
+++ b/src/pomelothread/gateway/peer_messages.py
@@ -121,6 +121,8 @@
         respond to a prompt with each of them and did not crash.
     store_epoch : int
         Newest epoch of the store that the sender knows; 0 if it knows none.
+    configuration_version : int
+        Version of the configuration that the sender has in force; 0 for none.
     """
 
     incarnation: str
@@ -141,6 +143,7 @@
     part_crashes: list[PartCrashReport] = []
     sound_parts: list[SoundPart] = []
     store_epoch: int = 0
+    configuration_version: int = 0
 
 
 class PermitRequest(msgspec.Struct, array_like=True, tag="permit-request"):
--- a/src/pomelothread/gateway/peers.py
+++ b/src/pomelothread/gateway/peers.py
@@ -57,6 +57,8 @@
     steady_since_s : float
         Monotonic time since which it has been fit to coordinate permits, as it
         reports; infinite if it has not reported that.
+    configuration_version : int
+        Version of the configuration that it has in force; 0 if unknown.
     """
 
     address: Address
@@ -69,6 +71,7 @@
     is_silent: bool = True
     changed_upstreams: set[str] = field(default_factory=set)
     steady_since_s: float = math.inf
+    configuration_version: int = 0
 
 
 class PeerTable:
@@ -138,6 +141,11 @@
         n_known = sum(counts_unheard or peer.incarnation != "" for peer in peers)
         return n_heard + 1, n_known + 1
 
+    def newest_version(self) -> int:
+        """Return the newest configuration version of any peer that is heard, or 0."""
+        heard = (peer for peer in self._peers.values() if not peer.is_silent)
+        return max((peer.configuration_version for peer in heard), default=0)
+
     def settled(self) -> list[Address]:
         """Return the peers of the own cell that may coordinate permits."""
         until_s = self._clock.monotonic_s() - SETTLING_S
@@ -241,6 +249,7 @@
             peer.sequence = -1
             peer.incarnation = message.incarnation
             peer.steady_since_s = math.inf
+            peer.configuration_version = 0
         if message.sequence <= peer.sequence:
             return None
         peer.sequence = message.sequence
@@ -259,6 +268,7 @@
             self._loads.setdefault(load.upstream_id, {})[address] = load
         peer.changed_upstreams = before | {load.upstream_id for load in message.loads}
         peer.waiting = message.waiting
+        peer.configuration_version = message.configuration_version
         return peer
 
     def mark_silent(self) -> bool:
--- a/src/pomelothread/gateway/process.py
+++ b/src/pomelothread/gateway/process.py
@@ -6,6 +6,7 @@
 import secrets
 import signal
 import socket
+import zlib
 from collections.abc import Callable, Coroutine
 from functools import partial
 from typing import Any
@@ -341,7 +342,7 @@
             apply=self._apply_configuration,
             wait_s=call_times(self._settings.configuration_bound_s).wait_s,
             watch=self._configuration_watch,
-            digest=lambda: self.configuration_version or 0,
+            digest=lambda: self._state.versions.digest,
             on_read=self._queue.load_changed.set,
             store_epoch=self._store_epoch,
         )
@@ -401,7 +402,9 @@
             return
         match self._adapter.decode_configuration(record.value):
             case Success(Configuration() as configuration):
-                if self._state.accept(configuration):
+                digest = zlib.crc32(record.value)
+                epoch = self._store_epoch.current or 0
+                if self._state.accept(configuration, digest, epoch):
                     self._apply_quotas(configuration)
                     self._queue.assign_all_slots()
             case Failure(detail):
@@ -467,7 +470,7 @@
         responder.respond(404, (), b"")
 
     def _check_ready(self) -> bool:
-        configuration = self._state.configuration
+        configuration = self._state.usable_configuration
         is_ready = (
             not self._state.is_draining
             and configuration is not None
--- a/src/pomelothread/gateway/reports.py
+++ b/src/pomelothread/gateway/reports.py
@@ -183,6 +183,7 @@
                 self._gossip()
         if self._peers.mark_silent():
             self._update_peer_loads(self._upstreams.all())
+            self._state.versions.observe_peers(self._peers.newest_version())
         if self._part_crashes is not None:
             self._part_crashes.log_changes()
 
@@ -255,6 +256,7 @@
             part_crashes,
             sound_parts,
             self._sent_epoch or 0,
+            self._state.versions.version or 0,
         )
 
     def _has_part_news(self) -> bool:
@@ -313,6 +315,7 @@
         if message.store_epoch:
             source = f"gateway {peer.incarnation}"
             self._store_epoch.observe(message.store_epoch, source)
+        self._state.versions.observe_peers(self._peers.newest_version())
         self._state.n_gateways = len(self._peers) + 1
         if self._peers.n_cells > 1:
             self._state.n_gateways = len(self._peers.alive()) + 1
--- a/src/pomelothread/gateway/state.py
+++ b/src/pomelothread/gateway/state.py
@@ -7,6 +7,7 @@
 
 from ..events import Event, log_event
 from ..http1.server import ServerLimits
+from ..policy.configuration_versions import ConfigurationVersions
 from ..policy.retries import RetryBudget
 from .configuration import Configuration
 from .settings import GatewaySettings
@@ -39,6 +40,7 @@
         self._settings = settings
         self._budgets: dict[str, RetryBudget] = {}
         self.configuration: Configuration | None = None
+        self.versions = ConfigurationVersions()
         self.configuration_received = asyncio.Event()
         # Set when the start is complete and requests no longer wait for it.
         self.startup_complete = asyncio.Event()
@@ -55,10 +57,27 @@
         """Limits on what callers may send, as now in force."""
         return self.configuration.limits if self.configuration else ServerLimits()
 
-    def accept(self, configuration: Configuration) -> bool:
-        """Put a configuration in force if it is newer; return whether it was."""
+    @property
+    def usable_configuration(self) -> Configuration | None:
+        """Configuration to decide by; None if only peers have the newest one."""
+        return None if self.versions.is_outdated else self.configuration
+
+    def accept(
+        self, configuration: Configuration, digest: int = 0, epoch: int = 0
+    ) -> bool:
+        """Put a configuration in force if it is newer; return whether it was.
+
+        Parameters
+        ----------
+        configuration : Configuration
+            The configuration.
+        digest : int
+            Checksum of its record.
+        epoch : int
+            Epoch of the store from which it was read.
+        """
         previous = self.configuration
-        if previous is not None and configuration.version <= previous.version:
+        if not self.versions.accept(configuration.version, digest, epoch):
             return False
         self.configuration = configuration
         self.configuration_received.set()
--- a/tests/platform_rig.py
+++ b/tests/platform_rig.py
@@ -157,8 +157,8 @@
 
 
 @asynccontextmanager
-async def running_gateway(rig, clock, **changes):
-    """Run a gateway on the store of a rig, and wait until it is ready."""
+async def running_gateway(rig, clock, awaits_ready=True, **changes):
+    """Run a gateway on the store of a rig, and usually wait until it is ready."""
     rig.address, rig.admin_address, rig.peer_address = free_addresses(3)
     rig.gateway = Gateway(
         settings(
@@ -177,7 +177,8 @@
             await asyncio.sleep(0)
             if rig.running.done():
                 rig.running.result()
-        await rig.until_ready()
+        if awaits_ready:
+            await rig.until_ready()
         yield rig
     finally:
         rig.running.cancel()
@@ -185,9 +186,9 @@
 
 
 @asynccontextmanager
-async def second_gateway(first):
+async def second_gateway(first, **changes):
     """Run another gateway on the same store, with the first one as its seed peer."""
     rig = Rig(first.store, first.upstreams)
     seeds = (first.peer_address,)
-    async with running_gateway(rig, SystemClock(), seed_addresses=seeds):
+    async with running_gateway(rig, SystemClock(), seed_addresses=seeds, **changes):
         yield rig
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -23,6 +23,7 @@
 from pomelothread.http1.client import ConnectionPool
 from pomelothread.platform.records import decode_listing
 from pomelothread.platform.store import StoreClient, TopicFeed
+from pomelothread.policy.configuration_versions import ConfigurationVersions
 from pomelothread.policy.feed_sharing import FeedReport, FeedWatch, ReadingTimes
 
 CONFIGURATIONS = "keyed.op"
@@ -284,3 +285,69 @@
             while not second.gateway.is_leaving("engine-0"):
                 await asyncio.sleep(0.01)
         assert first.gateway.is_leaving("engine-0")
+
+
+# Each configuration that is read: version, content, epoch; then those in force.
+READ = [
+    ([(3, "a", 1), (4, "b", 1), (3, "a", 2)], [3, 4, 4]),
+    ([(4, "b", 1), (4, "c", 1)], ["b", "b"]),
+    ([(4, "b", 1), (4, "c", 2)], ["b", "c"]),
+    ([(4, "b", 1), (4, "b", 2), (4, "c", 2)], ["b", "b", "c"]),
+    ([(4, "b", 1), (3, "c", 2), (5, "d", 2)], ["b", "b", "d"]),
+]
+
+
+@pytest.mark.parametrize(("read", "in_force"), READ)
+def test_versions_never_go_back_and_may_get_another_content_in_a_new_epoch(
+    read, in_force
+):
+    versions, current = ConfigurationVersions(), None
+    for (version, content, epoch), expected in zip(read, in_force, strict=True):
+        if versions.accept(version, ord(content), epoch):
+            current = (version, content)
+        assert expected in current
+        assert versions.version == current[0]
+
+
+# Steps: "own" or "peers", and a version; then whether the own one is outdated.
+STEPS = [
+    ([("own", 2)], False),
+    ([("own", 2), ("peers", 4)], True),
+    ([("peers", 4), ("own", 2)], True),
+    ([("own", 2), ("peers", 4), ("own", 4)], False),
+    # The peers have ended.
+    ([("own", 2), ("peers", 4), ("peers", 0)], False),
+    # It was as new as its peers once and learns of a change later.
+    ([("own", 4), ("peers", 4), ("peers", 5)], False),
+]
+
+
+@pytest.mark.parametrize(("steps", "is_outdated"), STEPS)
+def test_only_a_process_that_never_was_as_new_as_its_peers_is_outdated(
+    steps, is_outdated
+):
+    versions = ConfigurationVersions()
+    for whose, version in steps:
+        if whose == "own":
+            versions.accept(version, 0, epoch=1)
+        else:
+            versions.observe_peers(version)
+    assert versions.is_outdated is is_outdated
+
+
+async def test_a_gateway_that_starts_on_an_old_copy_does_not_deny_what_peers_serve():
+    async with gateway_rig() as first:
+        copy = first.store.copy()
+        put_version(first, 2, "added")
+        await until_version(first, 2)
+        first.store.restore(copy)
+        async with second_gateway(first, awaits_ready=False) as second:
+            while (
+                not second.gateway.n_peers or not second.gateway.configuration_version
+            ):
+                await asyncio.sleep(0.01)
+            assert (await second.call("/added/1")).status == 503
+            assert await second.readiness() == 503
+            put_version(first, 2, "added")
+            await second.until_ready()
+            assert (await second.call("/added/2")).status == 200
