Store again what gateways had stored when the store has lost it

Cause: notes of quotas, crashes of requests and of parts of prompts that the store had confirmed are gone after it returns from a copy, and nobody writes them again. A loss of all gateways after that lets quotas and crashing requests through. Change: each gateway writes its own quota note again, spread to 100 notes a second in the fleet. Evidence that is missing in the full read of a new epoch is written by the first gateway of each cell, and by the next ones only what is still missing a second later; evidence that was refuted is removed again. Notes carry the epoch: one of an earlier epoch that is younger than a minute may not be the last, so limits grow from nothing for one window. Event 838 says what was written. Result: tests of each kind; before, nothing was written after a return.

--- a/src/pomelothread/events.py
+++ b/src/pomelothread/events.py
@@ -389,6 +389,12 @@
         "up to offset %(offset)s; read to offset %(offset_before)s in epoch "
         "%(epoch_before)s",
     )
+    RECORDS_STORED_AGAIN = (
+        838,
+        logging.INFO,
+        "%(n_stored)s records of %(feed)s stored again that the store had lost; "
+        "%(n_failed)s could not be stored",
+    )
     UPSTREAM_LISTED = (
         840,
         logging.INFO,
--- a/src/pomelothread/gateway/part_crashes.py
+++ b/src/pomelothread/gateway/part_crashes.py
@@ -23,10 +23,10 @@
     Verdict,
 )
 from ..policy.departures import UpstreamStart
-from .crashes import Append
 from .feeds import KeyedRecord
 from .jobs import Job
 from .peer_messages import PartCrashReport, SoundPart
+from .storing_again import Append, store_again
 
 _log = logging.getLogger(__name__)
 
@@ -82,6 +82,8 @@
         # Evidence of each key in the store.
         self._stored: dict[str, tuple[str, UpstreamStart]] = {}
         self._logged_refused: frozenset[str] = frozenset()
+        # Returns the seconds for which other gateways may write what is missing.
+        self.rewrite_delay_s: Callable[[], float] = float
         # Whether this gateway may send a request to try a refused part.
         self.may_try: Callable[[], bool] = lambda: False
         # Called when there is something that peers have not been told yet.
@@ -226,9 +228,46 @@
         self._parts.add(crash)
 
     def apply_all(self, records: tuple[KeyedRecord, ...]) -> None:
-        """Merge all records of the store."""
+        """Merge all records of the store, and write those that it has lost."""
+        self._stored.clear()
         for record in records:
             self.apply(record)
+        missing = {
+            key: crash
+            for crash in self._parts.evidence()
+            if (key := _key(crash)) not in self._stored
+        }
+        refuted = {
+            key: b""
+            for key, (part, start) in self._stored.items()
+            if self._parts.was_sound(part) and not self._is_suspected(part, start)
+        }
+        if missing or refuted:
+            self._start(self._store_again(missing, refuted))
+
+    def _is_suspected(self, part: str, start: UpstreamStart) -> bool:
+        return any(crash.start == start for crash in self._parts.crashes_of(part))
+
+    async def _store_again(
+        self, missing: dict[str, PartCrash], refuted: dict[str, bytes]
+    ) -> None:
+        """Write evidence that the store has lost, and remove what was refuted."""
+
+        def value_of(key: str) -> bytes | None:
+            if key in refuted:
+                return refuted[key] if key in self._stored else None
+            if key in self._stored or not self._parts.is_suspected(missing[key]):
+                return None
+            return msgspec.json.encode(self._encode(missing[key]))
+
+        await store_again(
+            "part crashes",
+            [*missing, *refuted],
+            value_of,
+            self._append,
+            self._clock,
+            STORE_DELAY_S + self.rewrite_delay_s(),
+        )
 
     async def _store_if_suspected(self, crash: PartCrash) -> None:
         await self._clock.sleep(STORE_DELAY_S)
--- a/src/pomelothread/gateway/platform_link.py
+++ b/src/pomelothread/gateway/platform_link.py
@@ -6,9 +6,9 @@
 from returns.result import Result
 
 from .configuration import Configuration
-from .crashes import Append
 from .dialect import Dialect
 from .feeds import KeyedFeed, KeyedRecord
+from .storing_again import Append
 from .upstreams import UpstreamListing
 
 
--- a/src/pomelothread/gateway/process.py
+++ b/src/pomelothread/gateway/process.py
@@ -68,6 +68,10 @@
 # When the store returns from a copy, all gateways read all feeds in full. With this
 # many gateways a second, they stay below the limit of the store's reads.
 FULL_READERS_PER_S = 300.0
+# Time for which each gateway leaves the writing of records that the store has lost to
+# the one before it, and the maximum number of these times.
+REWRITE_DELAY_S = 1.0
+MAX_REWRITE_DELAYS = 8
 METRICS_PATH = b"/metrics"
 LISTEN_BACKLOG = 1_024
 
@@ -118,11 +122,15 @@
         self.metrics = GatewayMetrics(clock)
         self._queue = UpstreamQueue(self._upstreams, clock, random_source)
         self._crash_guard = CrashGuard()
-        self._crashes = CrashReporter(self._crash_guard, self._adapter.append_crash)
+        self._crashes = CrashReporter(
+            self._crash_guard, self._adapter.append_crash, clock
+        )
         self._part_crashes = PartCrashReporter(
             CrashingParts(), self._adapter.append_part_crash, clock, random_source
         )
         self._part_crashes.may_try = self._may_try_parts
+        self._crashes.rewrite_delay_s = self._rewrite_delay_s
+        self._part_crashes.rewrite_delay_s = self._rewrite_delay_s
         self._queue.verdict_on = self._part_crashes.verdict_on
         self._quotas = QuotaTracker(settings.quota_tolerance, clock.monotonic_s())
         self._quota_notes = QuotaNotes(
@@ -132,6 +140,8 @@
             self._adapter.append_quota_note,
             settings.quota_tolerance.window_s,
             clock,
+            self._store_epoch,
+            random_source,
         )
         self._peers = PeerTable(settings.peer_address, clock)
         self._results = UpstreamResults(
@@ -382,6 +392,10 @@
         )
         return configurations, listings, crashes, part_crashes
 
+    def _rewrite_delay_s(self) -> float:
+        """Return the seconds for which gateways before this one may write first."""
+        return REWRITE_DELAY_S * min(self._peers.rank, MAX_REWRITE_DELAYS)
+
     def _schedule_full_read(self, follower: Follower) -> None:
         """Let a feed be read in full soon, at another moment than other gateways."""
         delay_s = self._random.random() * self._state.n_gateways / FULL_READERS_PER_S
--- a/src/pomelothread/gateway/quota_notes.py
+++ b/src/pomelothread/gateway/quota_notes.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable
+import random
 from datetime import datetime
 
 import msgspec
@@ -12,6 +12,8 @@
 from ..events import Event, log_event
 from ..policy.quotas import QuotaNote, QuotaTracker
 from .feeds import RETRY_PAUSE_S, FeedFault, KeyedFeed, KeyedRecord, Records
+from .store_epoch import StoreEpoch
+from .storing_again import Append
 
 _log = logging.getLogger(__name__)
 
@@ -19,7 +21,8 @@
 # times its usual load uses up a quota in about a second.
 NOTE_CHECK_INTERVAL_S = 0.2
 
-Append = Callable[[str, bytes], Awaitable[bool]]
+# When the store returns from a copy, gateways write this many notes a second together.
+NOTES_PER_S = 100.0
 
 
 class QuotaNotes:
@@ -40,6 +43,10 @@
         Length of the sliding window of the quotas.
     clock : Clock
         Source of time.
+    store_epoch : StoreEpoch
+        Tells when the store has returned from a copy and may have lost the note.
+    random_source : random.Random
+        Spreads the notes of all gateways after that.
     """
 
     def __init__(
@@ -50,7 +57,14 @@
         append: Append,
         window_s: float,
         clock: Clock,
+        store_epoch: StoreEpoch,
+        random_source: random.Random,
     ) -> None:
+        self._store_epoch = store_epoch
+        self._random = random_source
+        # Epoch in which the note was stored, and time at which a lost one is due.
+        self._stored_epoch: int | None = None
+        self._lost_due_s: float | None = None
         self._instance = instance
         self._quotas = quotas
         self._feed = feed
@@ -75,9 +89,20 @@
         await self._restore(configuration_received, startup_complete)
         while True:
             await self._clock.sleep(NOTE_CHECK_INTERVAL_S)
-            if self._quotas.is_note_due(self._clock.monotonic_s()):
+            now_s = self._clock.monotonic_s()
+            if self._quotas.is_note_due(now_s) or self._is_lost_note_due(now_s):
                 await self._write()
 
+    def _is_lost_note_due(self, now_s: float) -> bool:
+        """Return whether the store may have lost the last note, and it is due again."""
+        if not self._store_epoch.is_over(self._stored_epoch):
+            self._lost_due_s = None
+            return False
+        if self._lost_due_s is None:
+            n_gateways = self._quotas.n_instances
+            self._lost_due_s = now_s + self._random.random() * n_gateways / NOTES_PER_S
+        return now_s >= self._lost_due_s
+
     async def _restore(
         self, configuration_received: asyncio.Event, startup_complete: asyncio.Event
     ) -> None:
@@ -101,16 +126,21 @@
             if note is not None:
                 notes[record.key] = note
         now_s, unix_ms = self._clock.monotonic_s(), _unix_ms(self._clock.now())
-        is_known = self._quotas.restore(notes, self._instance, now_s, unix_ms)
+        is_known = self._quotas.restore(
+            notes, self._instance, now_s, unix_ms, self._store_epoch.current or 0
+        )
         log_event(_log, Event.QUOTAS_RESTORED, n_notes=len(notes), is_known=is_known)
 
     async def _write(self) -> None:
         now_s = self._clock.monotonic_s()
         used = self._quotas.used()
-        note = self._quotas.make_note(now_s, _unix_ms(self._clock.now()))
+        epoch = self._store_epoch.current
+        note = self._quotas.make_note(now_s, _unix_ms(self._clock.now()), epoch or 0)
         was_stored = await self._append(self._instance, msgspec.json.encode(note))
         if was_stored:
             self._quotas.mark_note_stored(used, now_s)
+            # If the store has returned from a copy meanwhile, the note may be lost.
+            self._stored_epoch = epoch
         elif self._was_last_stored:
             # Logged once per series of failures.
             log_event(_log, Event.QUOTA_NOTE_NOT_STORED, instance=self._instance)
--- a/src/pomelothread/policy/crash_guard.py
+++ b/src/pomelothread/policy/crash_guard.py
@@ -117,6 +117,14 @@
         if len(self._crashed_upstreams) > MAX_FINGERPRINTS:
             self._crashed_upstreams.popitem(last=False)
 
+    def upstreams_of(self, fingerprint: str) -> frozenset[str]:
+        """Return the upstreams that have crashed while running a request."""
+        return self._crashed_upstreams.get(fingerprint, frozenset())
+
+    def fingerprints(self) -> list[str]:
+        """Return the fingerprints of all requests with a known crash."""
+        return list(self._crashed_upstreams)
+
     def newest(self, n_most: int) -> dict[str, list[str]]:
         """Return the most recently changed fingerprints and their upstreams."""
         fingerprints_by_age = list(self._crashed_upstreams)[-n_most:]
--- a/src/pomelothread/policy/quotas.py
+++ b/src/pomelothread/policy/quotas.py
@@ -50,6 +50,9 @@
 # Maximum difference between the clocks of two instances. Admissions in a note are
 # treated as more recent by this, so that they expire later.
 CLOCK_ERROR_S = 2.5
+# A note of an earlier epoch of the store that is older than this is not of a process
+# that still runs; others may have written a newer one that the store has lost.
+LOST_HISTORY_S = 60.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,10 +83,13 @@
         Unix time of the note in milliseconds.
     used : dict of str to list of (float, float)
         For each organisation, the age in seconds and the units of its admissions.
+    epoch : int
+        Epoch of the store when it was written; 0 if the store has none.
     """
 
     written_ms: int
     used: dict[str, list[tuple[float, float]]]
+    epoch: int = 0
 
 
 class _Window:
@@ -364,20 +370,24 @@
     def is_note_due(self, now_s: float) -> bool:
         """Return whether the next note has to be written now."""
         is_old = now_s - self._last_note_s >= MAX_NOTE_AGE_S
-        n_instances = len(self._last_report_s_by_peer) + 1
         for quota in self._quotas.values():
             units_since_note = quota.own_used - quota.noted_used
             quota.own_window.expire(now_s)
             window_units = self._units_per_window(quota)
             is_much_used = quota.window.total > MUCH_USED_SHARE * window_units
             share = NOTE_DUE_SHARE_IF_MUCH_USED if is_much_used else NOTE_DUE_SHARE
-            if units_since_note > share * window_units / n_instances:
+            if units_since_note > share * window_units / self.n_instances:
                 return True
             if is_old and quota.own_window.total > 0.0:
                 return True
         return False
 
-    def make_note(self, now_s: float, written_ms: int) -> QuotaNote:
+    @property
+    def n_instances(self) -> int:
+        """Number of instances that report, this one included."""
+        return len(self._last_report_s_by_peer) + 1
+
+    def make_note(self, now_s: float, written_ms: int, epoch: int = 0) -> QuotaNote:
         """Return a note of what this process has admitted in the last window.
 
         Parameters
@@ -386,6 +396,9 @@
             Monotonic time.
         written_ms : int
             Unix time in milliseconds, from which a later process computes the age.
+        epoch : int
+            Epoch of the store, from which a later process sees whether newer notes of
+            this process may have been lost.
 
         Returns
         -------
@@ -398,7 +411,7 @@
             by_age = quota.own_window.by_age(now_s)
             if by_age:
                 used[organisation] = by_age
-        return QuotaNote(written_ms, used)
+        return QuotaNote(written_ms, used, epoch)
 
     def mark_note_stored(self, used: dict[str, float], now_s: float) -> None:
         """Record that a note which covers these sums from `used` was stored."""
@@ -409,7 +422,12 @@
                 quota.noted_used = total
 
     def restore(
-        self, notes: dict[str, QuotaNote], instance: str, now_s: float, unix_ms: int
+        self,
+        notes: dict[str, QuotaNote],
+        instance: str,
+        now_s: float,
+        unix_ms: int,
+        epoch: int = 0,
     ) -> bool:
         """Count what the notes of all instances say was admitted before the start.
 
@@ -424,17 +442,23 @@
             Monotonic time.
         unix_ms : int
             Unix time in milliseconds.
+        epoch : int
+            Epoch of the store.
 
         Returns
         -------
         bool
-            False if there are notes but the newest one is older than a window, so
-            that the last admissions are unknown; the limits then grow from 0.
+            False if there are notes but the newest one is older than a window, or
+            one may be older than a note that the store has lost, so that the last
+            admissions are unknown; the limits then grow from 0.
         """
         ages_s = []
+        may_lack_notes = False
         for noted_by, note in notes.items():
             age_by_clock_s = (unix_ms - note.written_ms) * 0.001
             ages_s.append(age_by_clock_s)
+            if note.epoch < epoch and age_by_clock_s < LOST_HISTORY_S:
+                may_lack_notes = True
             note_age_s = max(0.0, age_by_clock_s - CLOCK_ERROR_S)
             for organisation, by_age in note.used.items():
                 quota = self._quotas.get(organisation)
@@ -447,7 +471,8 @@
                         quota.own_window.add_past(units, admitted_s)
         # Makes the first note due at once, because the old one is not current any more.
         self._last_note_s = now_s - MAX_NOTE_AGE_S
-        self._knows_past_use = not ages_s or min(ages_s) <= self._tolerance.window_s
+        is_recent = not ages_s or min(ages_s) <= self._tolerance.window_s
+        self._knows_past_use = is_recent and not may_lack_notes
         return self._knows_past_use
 
     def _units_per_window(self, quota: _Quota) -> float:
--- a/tests/test_fuzz_edges.py
+++ b/tests/test_fuzz_edges.py
@@ -112,7 +112,7 @@
 def test_no_record_of_the_store_raises(data):
     decode_configuration(data)
     decode_listing(KeyedRecord("i-1", data))
-    CrashReporter(CrashGuard(), None).apply(KeyedRecord("fingerprint", data))
+    CrashReporter(CrashGuard(), None, None).apply(KeyedRecord("fingerprint", data))
     records = _decode_records(data)
     assert records is None or all(isinstance(r, KeyedRecord) for r in records)
 
--- a/tests/test_gateway_cells.py
+++ b/tests/test_gateway_cells.py
@@ -65,7 +65,7 @@
             self.upstreams,
             queue,
             self.quotas,
-            CrashReporter(CrashGuard(), None),
+            CrashReporter(CrashGuard(), None, fleet.clock),
             self.peers,
             state,
             fleet.clock,
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -1,15 +1,18 @@
 """Tests that nothing is lost or goes back when the store returns from an older copy."""
 
 import asyncio
+import hashlib
+import random
 from datetime import UTC, datetime
 
 import msgspec
 import pytest
-from platform_rig import configuration, gateway_rig, route, second_gateway
+from platform_rig import API_KEY, configuration, gateway_rig, route, second_gateway
 from returns.result import Success
 
 from pomelothread.addresses import Address
 from pomelothread.clock import ManualClock, SystemClock
+from pomelothread.gateway.crashes import CrashReporter
 from pomelothread.gateway.feeds import (
     EXPIRED_LISTING_GRACE_S,
     FeedFault,
@@ -18,16 +21,21 @@
     Records,
 )
 from pomelothread.gateway.listings import ListingSync
+from pomelothread.gateway.part_crashes import PartCrashReporter
 from pomelothread.gateway.store_epoch import StoreEpoch
 from pomelothread.gateway.upstreams import UpstreamTable
 from pomelothread.http1.client import ConnectionPool
 from pomelothread.platform.records import decode_listing
 from pomelothread.platform.store import StoreClient, TopicFeed
 from pomelothread.policy.configuration_versions import ConfigurationVersions
+from pomelothread.policy.crash_guard import CrashGuard
+from pomelothread.policy.crashing_parts import CrashingParts
 from pomelothread.policy.feed_sharing import FeedReport, FeedWatch, ReadingTimes
+from pomelothread.policy.quotas import QuotaNote, QuotaTolerance, QuotaTracker
 
 CONFIGURATIONS = "keyed.op"
 LISTINGS = "keyed.servers"
+QUOTA_NOTES = "keyed.quotas"
 # Enough calls for several reads of each feed.
 N_CALLS = 12
 
@@ -71,7 +79,7 @@
 
 @pytest.mark.parametrize("n_lost", [1, 2])
 async def test_a_departure_at_an_offset_given_out_again_is_known(n_lost):
-    async with gateway_rig(leaving_bound_s=6.0) as rig:
+    async with gateway_rig() as rig:
         engine, entry = rig.upstreams["engine-0"], None
         copy = rig.store.copy()
         for seq in range(n_lost):
@@ -273,7 +281,7 @@
 
 
 async def test_a_gateway_that_starts_learns_of_departures_that_the_copy_lacks():
-    async with gateway_rig(leaving_bound_s=60.0) as first:
+    async with gateway_rig() as first:
         copy = first.store.copy()
         engine = first.upstreams["engine-0"]
         entry = {**engine.store_entry("draining"), "seq": 2}
@@ -351,3 +359,92 @@
             put_version(first, 2, "added")
             await second.until_ready()
             assert (await second.call("/added/2")).status == 200
+
+
+class ZeroSleepClock(ManualClock):
+    """Clock whose `sleep` ends as soon as other tasks have run."""
+
+    async def sleep(self, delay_s):
+        await asyncio.sleep(0)
+
+
+class Appends:
+    """Records what is appended."""
+
+    def __init__(self):
+        self.records = []
+
+    async def __call__(self, key, value):
+        self.records.append((key, value))
+        return True
+
+
+CRASHED = KeyedRecord("f", b'["e1","e2","e3"]')
+PART_CRASH = {
+    "part": "abc", "depth": 1, "upstream_id": "e1", "started_ms": 1, "body": "b",
+    "sent_at_ms": 1_772_323_199_000, "crashed_at_ms": 1_772_323_199_500,
+}  # fmt: skip
+SUSPECTED = KeyedRecord(
+    hashlib.blake2b(b"abc/e1/1", digest_size=12).hexdigest(),
+    msgspec.json.encode(PART_CRASH),
+)
+
+
+def make_reporter(kind, appends):
+    clock = ZeroSleepClock(datetime(2026, 3, 1, tzinfo=UTC))
+    if kind == "crashes":
+        return CrashReporter(CrashGuard(), appends, clock), CRASHED
+    parts = CrashingParts()
+    return PartCrashReporter(parts, appends, clock, random.Random(1)), SUSPECTED
+
+
+@pytest.mark.parametrize("kind", ["crashes", "part crashes"])
+@pytest.mark.parametrize("lost_by", ["store", "nobody", "store, and stored by a peer"])
+async def test_evidence_of_crashes_that_the_store_has_lost_is_stored_again(
+    kind, lost_by
+):
+    appends = Appends()
+    reporter, record = make_reporter(kind, appends)
+    reporter.apply_all((record,))
+    reporter.apply_all((record,) if lost_by == "nobody" else ())
+    if lost_by == "store, and stored by a peer":
+        reporter.apply(record)
+    for _ in range(10):
+        await asyncio.sleep(0)
+    assert [key for key, _ in appends.records] == (
+        [record.key] if lost_by == "store" else []
+    )
+
+
+async def test_quota_notes_that_the_store_has_lost_are_stored_again():
+    tenants = [{"name": "club", "api_keys": [API_KEY], "rate_per_s": 5, "burst": 5}]
+    async with gateway_rig(config=configuration(tenants=tenants)) as rig:
+        copy = rig.store.copy()
+        assert (await rig.call("/lookups/1")).status == 200
+        while not rig.store.newest(QUOTA_NOTES):
+            await asyncio.sleep(0.01)
+        rig.store.restore(copy)
+        while not rig.store.newest(QUOTA_NOTES):
+            await asyncio.sleep(0.01)
+        (note,) = rig.store.newest(QUOTA_NOTES).values()
+        assert msgspec.json.decode(note)["epoch"] == rig.store.era
+
+
+# Epochs of the notes, their ages in seconds, and whether the last window is known.
+NOTES = [
+    ([(2, 1.0)], True),
+    ([(1, 1.0)], False),
+    ([(2, 1.0), (1, 5.0)], False),
+    ([(2, 1.0), (1, 100.0)], True),
+    ([], True),
+]
+
+
+@pytest.mark.parametrize(("notes", "is_known"), NOTES)
+def test_notes_from_before_the_return_of_the_store_may_not_be_the_last(notes, is_known):
+    tracker = QuotaTracker(QuotaTolerance(8.0, 0.0, 0.0), started_s=1000.0)
+    stored = {
+        f"gateway-{n}": QuotaNote(round(1e9 - 1000 * age_s), {}, epoch)
+        for n, (epoch, age_s) in enumerate(notes)
+    }
+    assert tracker.restore(stored, "gateway-9", 1000.0, 10**9, epoch=2) is is_known
--- a/tools/limit_fleet.py
+++ b/tools/limit_fleet.py
@@ -217,7 +217,7 @@
             self.upstreams,
             queue,
             QuotaTracker(tolerance, fleet.clock.monotonic_s()),
-            CrashReporter(CrashGuard(), cast(Any, None)),
+            CrashReporter(CrashGuard(), cast(Any, None), fleet.clock),
             self.peers,
             GatewayState(cast(Any, None)),
             fleet.clock,
