--- a/tools/standins/platform.py
+++ b/tools/standins/platform.py
@@ -336,6 +336,8 @@
         Number of events in a stream.
     event_interval_s : float
         Pause before each event, in seconds.
+    software_version : str
+        Version of its software, which it writes into its entry in the store.
     """
 
     def __init__(
@@ -344,7 +346,9 @@
         service: str,
         n_events: int = 4,
         event_interval_s: float = 0.0,
+        software_version: str = "v1",
     ) -> None:
+        self.software_version = software_version
         self.upstream_id = upstream_id
         self.service = service
         self.n_events = n_events
@@ -376,7 +380,7 @@
             "service": self.service,
             "address": f"127.0.0.1:{self.http.port}",
             "zone": "zone-a",
-            "version": "v1",
+            "version": self.software_version,
             "slots": slots,
             "state": state,
             "cold_left_ms": 0,
