Let a stream go on only at the software version that began it

Cause: gateways knew no versions. A broken stream was resumed at any upstream of its service, and a caller that took it up was placed like a new request. Change: the list's version of an upstream is part of its listing. From the first event on, a request runs only at the service and version that it came from. Gateways remember these for a minute, by the id of the attempt that brought the first event, over any number of tries. While several versions of a service are listed, or were within a minute, each stream is told to three peers, found by a hash of its id; a gateway that does not know a stream asks the first five, up to three times 0.12 s, as the first one may be dead. What is not known is not guessed while several versions serve: the caller is told that the request has not run (stream-not-resumed), at once where no upstream of the version stays. With one version nothing is sent. Weighed: a version derived from the attempt's id changes whenever versions come or go; telling all peers costs 16 KB/s for each of 68 gateways in a cell at 8 streams a second (by arithmetic: 67 x 8 x 30 bytes), three peers under 2 KB/s; asking all does not help when the first gateway is dead.

--- a/src/pomelothread/events.py
+++ b/src/pomelothread/events.py
@@ -398,7 +398,8 @@
     UPSTREAM_LISTED = (
         840,
         logging.INFO,
-        "upstream %(upstream)s of %(service)s at %(address)s is listed as %(state)s",
+        "upstream %(upstream)s of %(service)s at %(address)s is listed as %(state)s, "
+        "software version %(software_version)s",
     )
     UPSTREAM_UNLISTED = (841, logging.INFO, "upstream %(upstream)s is no longer listed")
     LISTING_UNUSABLE = (
@@ -454,6 +455,12 @@
         "this gateway no longer issues permits of upstream %(upstream)s; coordinator "
         "%(coordinator)s",
     )
+    STREAM_NOT_RESUMED = (
+        867,
+        logging.WARNING,
+        "request %(request_id)s cannot go on with stream %(stream)s after event "
+        "%(last_event_id)s: %(cause)s",
+    )
     GATEWAY_PEER_UP = (850, logging.INFO, "gateway %(peer)s at %(address)s is up")
     GATEWAY_PEER_SILENT = (
         851,
--- a/src/pomelothread/gateway/attempt.py
+++ b/src/pomelothread/gateway/attempt.py
@@ -23,6 +23,7 @@
     Unsent,
     Withheld,
 )
+from ..policy.stream_versions import Software
 from ..policy.upstream_speed import predict_first_event_s
 from .dialect import Dialect, ResponseFacts
 from .events_of_stream import EventSplitter, first_event_id
@@ -99,6 +100,8 @@
     try_spend_retry : callable
         Takes a retry from the retry budget; False if the request has to stay on
         this upstream.
+    record_began : callable
+        Called with the id of a stream and the software at which it begins or goes on.
     observe_sound : callable
         Called with the monotonic time at which the response began, once the upstream
         has shown that it does not crash for that reason.
@@ -122,6 +125,7 @@
         "_observe_sound",
         "_pool",
         "_queue",
+        "_record_began",
         "_responder",
         "_try_spend_retry",
         "_upstreams",
@@ -150,7 +154,9 @@
         clock: Clock,
         try_spend_retry: Callable[[], bool],
         observe_sound: Callable[[float], None],
+        record_began: Callable[[str, Software], None],
     ) -> None:
+        self._record_began = record_began
         self._observe_sound = observe_sound
         self._try_spend_retry = try_spend_retry
         self.job = job
@@ -381,6 +387,9 @@
         lease = self.lease
         n_tokens = lease.n_prompt_tokens + lease.n_pending_tokens
         lease.upstream.speed.observe_first(self.first_event_s, n_tokens)
+        # From now on the stream may go on only at this software.
+        self.job.software = lease.upstream.listing.software
+        self._record_began(self.job.stream_id, self.job.software)
         self._queue.record_first_event(lease)
 
     async def _read_or_timeout(
--- a/src/pomelothread/gateway/dialect.py
+++ b/src/pomelothread/gateway/dialect.py
@@ -35,6 +35,9 @@
         Whether token counts are stated.
     last_event_id : int or None
         Id of the last event of the stream that the caller has received.
+    first_attempt_id : str
+        Id of the request that brought the first event of the stream that the caller
+        takes up; "" if it names none or several.
     shared_parts : tuple of str
         Ids of the parts of the prompt that other requests may share, in order; the
         last part of a prompt is the request's own and is not among them.
@@ -50,6 +53,7 @@
     has_token_counts: bool
     last_event_id: int | None
     shared_parts: tuple[str, ...] = ()
+    first_attempt_id: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pomelothread/gateway/forwarding.py
+++ b/src/pomelothread/gateway/forwarding.py
@@ -32,6 +32,7 @@
     after_attempt,
     give_up,
 )
+from ..policy.stream_versions import MAX_ID_CHARS
 from ..policy.waiting_order import (
     WaitingFacts,
     for_repeat,
@@ -46,6 +47,7 @@
 from .part_crashes import PartCrashReporter
 from .queue import Lease, NoSlot, UpstreamQueue
 from .state import GatewayState
+from .stream_versions import StreamVersionExchange
 from .upstream_results import UpstreamResults
 from .upstreams import UpstreamTable
 
@@ -75,6 +77,8 @@
         Updates health, speed and crash records from the results of attempts.
     part_crashes : PartCrashReporter
         Evidence about parts of prompts that crash upstreams.
+    streams : StreamVersionExchange
+        Knows at which software streams began.
     clock : Clock
         Source of time.
     random_source : random.Random
@@ -92,6 +96,7 @@
         metrics: GatewayMetrics,
         results: UpstreamResults,
         part_crashes: PartCrashReporter,
+        streams: StreamVersionExchange,
         clock: Clock,
         random_source: random.Random,
     ) -> None:
@@ -104,6 +109,7 @@
         self._metrics = metrics
         self._results = results
         self._part_crashes = part_crashes
+        self._streams = streams
         self._clock = clock
         self._random = random_source
 
@@ -158,6 +164,11 @@
             self._record_end(job, outcome)
 
     async def _try_upstreams(self, job: Job, responder: Responder) -> str:
+        if job.takes_up_stream and not await self._find_software(job):
+            step = give_up(
+                self._repeat_facts(job, responder), Reason.STREAM_NOT_RESUMED
+            )
+            return self._apply_final_step(job, step, responder, None)
         while True:
             lease = await self._queue.acquire(job)
             if isinstance(lease, NoSlot):
@@ -176,6 +187,7 @@
                 self._clock,
                 partial(self._try_spend_retry, job, responder),
                 partial(self._part_crashes.observe_sound, job),
+                self._streams.record_began,
             )
             could_have_run = job.may_have_run
             self._log_sent(job, lease)
@@ -211,6 +223,28 @@
                 return self._apply_final_step(job, step, responder, attempt)
             job.waiting = self._waiting_facts_for_retry(job)
 
+    async def _find_software(self, job: Job) -> bool:
+        """Find out at which software a stream may go on; return whether it is known."""
+        services = [destination.service for destination in job.route.destinations]
+        stream_id = job.facts.first_attempt_id
+        software = await self._streams.find(stream_id, services)
+        if software is None or software.service not in services:
+            cause = "the software at which it began is not known"
+            self._log_not_resumed(job, cause)
+            return False
+        job.software, job.service = software, software.service
+        return True
+
+    def _log_not_resumed(self, job: Job, cause: str) -> None:
+        log_event(
+            _log,
+            Event.STREAM_NOT_RESUMED,
+            request_id=job.request_id,
+            stream=job.stream_id[:MAX_ID_CHARS],
+            last_event_id=job.last_event_id,
+            cause=cause,
+        )
+
     async def _may_have_crashed_upstream(
         self, attempt: Attempt, end: AttemptEnd
     ) -> bool:
@@ -268,6 +302,9 @@
         reason = Reason.OVERLOADED if no_slot.had_upstream else Reason.NO_UPSTREAM
         if no_slot.is_convicted:
             reason = Reason.CONVICTED
+        if job.software is not None and not no_slot.had_upstream:
+            reason = Reason.STREAM_NOT_RESUMED
+            self._log_not_resumed(job, f"no upstream for {job.software}")
         return give_up(self._repeat_facts(job, responder), reason)
 
     def _apply_final_step(
--- a/src/pomelothread/gateway/jobs.py
+++ b/src/pomelothread/gateway/jobs.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from ..http1.messages import Request, ResponseHead
+from ..policy.stream_versions import Software
 from ..policy.waiting_order import WaitingFacts
 from .configuration import Organisation, Route
 from .dialect import CallerFacts
@@ -30,6 +31,8 @@
         Version of the configuration in force at its arrival.
     fingerprint : str
         Hash that identifies the request if it is sent again.
+    software : Software or None
+        Software at which its stream began, and the only one at which it may go on.
     is_trial : bool
         Whether it tries a part of a prompt that is refused.
     tried : set of str
@@ -62,6 +65,7 @@
     waiting: WaitingFacts
     configuration_version: int
     fingerprint: str
+    software: Software | None = None
     is_trial: bool = False
     tried: set[str] = field(default_factory=set)
     n_sent: int = 0
@@ -79,6 +83,16 @@
         """Id that the caller gave to this try of the request, for logs."""
         return (self.facts.request_id or b"").decode("latin-1")
 
+    @property
+    def stream_id(self) -> str:
+        """Id of the request that brought the first event of its stream."""
+        return self.facts.first_attempt_id or self.request_id
+
+    @property
+    def takes_up_stream(self) -> bool:
+        """Whether the caller has received events of the stream by another request."""
+        return self.route.is_streaming and self.facts.last_event_id is not None
+
     def record_event(self, now_s: float) -> None:
         """Record that events are relayed to the caller."""
         if self.first_event_s is None:
--- a/src/pomelothread/gateway/listings.py
+++ b/src/pomelothread/gateway/listings.py
@@ -122,6 +122,7 @@
                 service=listing.service,
                 address=listing.address,
                 state="leaving" if listing.is_leaving else "ready",
+                software_version=listing.software_version,
             )
             self._on_change(())
 
@@ -150,5 +151,5 @@
     return name_hash(
         f"{listing.upstream_id} {listing.started_ms} {listing.service} "
         f"{listing.address} {listing.failure_domain} {listing.n_slots} "
-        f"{listing.is_leaving}"
+        f"{listing.is_leaving} {listing.software_version}"
     )
--- a/src/pomelothread/gateway/peer_link.py
+++ b/src/pomelothread/gateway/peer_link.py
@@ -14,12 +14,21 @@
 
 from ..addresses import Address, parse_address
 from ..events import Event, log_event
-from .peer_messages import GossipMessage, PeerMessage, PermitReply, PermitRequest
+from .peer_messages import (
+    GossipMessage,
+    PeerMessage,
+    PermitReply,
+    PermitRequest,
+    StreamNews,
+    StreamQuery,
+    StreamReply,
+)
 from .peers import Peer, PeerTable
 
 _log = logging.getLogger(__name__)
 
-_Message = PeerMessage | GossipMessage | PermitRequest | PermitReply
+_StreamMessage = StreamNews | StreamQuery | StreamReply
+_Message = PeerMessage | GossipMessage | PermitRequest | PermitReply | _StreamMessage
 
 
 class PeerLink(asyncio.DatagramProtocol):
@@ -52,6 +61,8 @@
         self.on_permits: Callable[[Address, PermitRequest | PermitReply], None] = (
             _ignore_permits
         )
+        # Handles messages about streams; set by the process.
+        self.on_streams: Callable[[Address, _StreamMessage], None] = _ignore_streams
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
@@ -90,6 +101,8 @@
                 self._on_gossip(address, message)
             case PermitRequest() | PermitReply():
                 self.on_permits(address, message)
+            case StreamNews() | StreamQuery() | StreamReply():
+                self.on_streams(address, message)
 
     def _introduce(self, host: str, port: int, age_s: float) -> None:
         address = parse_address(f"{host}:{port}")
@@ -116,6 +129,10 @@
         """Send a message about permits to one peer, without waiting."""
         self._send(message, [address])
 
+    def send_stream(self, message: _StreamMessage, address: Address) -> None:
+        """Send a message about streams to one peer, without waiting."""
+        self._send(message, [address])
+
     def _send(self, message: _Message, addresses: list[Address]) -> None:
         if self._transport is None or self._transport.is_closing():
             return
@@ -129,5 +146,9 @@
             self._transport.close()
 
 
+def _ignore_streams(sender: Address, message: _StreamMessage) -> None:
+    """Drop messages that arrive before the process handles streams."""
+
+
 def _ignore_permits(sender: Address, message: PermitRequest | PermitReply) -> None:
     """Drop messages that arrive before the process handles permits."""
--- a/src/pomelothread/gateway/peer_messages.py
+++ b/src/pomelothread/gateway/peer_messages.py
@@ -222,6 +222,51 @@
     limit_age_s: float
 
 
+class StreamNews(msgspec.Struct, array_like=True, tag="streams"):
+    """Software at which streams of the sender began.
+
+    Parameters
+    ----------
+    streams : list of (str, str, str)
+        Id of the request that brought the first event, service, and software version.
+    """
+
+    streams: list[tuple[str, str, str]]
+
+
+class StreamQuery(msgspec.Struct, array_like=True, tag="stream-query"):
+    """Question at which software a stream began.
+
+    Parameters
+    ----------
+    stream_id : str
+        Id of the request that brought its first event.
+    services : list of str
+        Services that run the requests of its route.
+    """
+
+    stream_id: str
+    services: list[str]
+
+
+class StreamReply(msgspec.Struct, array_like=True, tag="stream-reply"):
+    """Answer to a `StreamQuery`.
+
+    Parameters
+    ----------
+    stream_id : str
+        Id of the request that brought the first event.
+    software : (str, str) or None
+        Service and software version; None if the sender does not know the stream.
+    n_versions : int
+        Largest number of versions that the sender has lately seen of a service.
+    """
+
+    stream_id: str
+    software: tuple[str, str] | None
+    n_versions: int
+
+
 class GossipMessage(msgspec.Struct, array_like=True, tag="rumour"):
     """Gossip about the members of a fleet of several cells, and their use of quotas.
 
--- a/src/pomelothread/gateway/process.py
+++ b/src/pomelothread/gateway/process.py
@@ -49,6 +49,7 @@
 from .settings import GatewaySettings
 from .state import GatewayState
 from .store_epoch import StoreEpoch
+from .stream_versions import StreamVersionExchange
 from .supervision import keep_running, on_callback_error, stop_process
 from .upstream_results import UpstreamResults
 from .upstreams import Upstream, UpstreamTable
@@ -144,6 +145,7 @@
             random_source,
         )
         self._peers = PeerTable(settings.peer_address, clock)
+        self._streams = StreamVersionExchange(self._upstreams, self._peers, clock)
         self._results = UpstreamResults(
             self._upstreams,
             self._pool,
@@ -170,6 +172,7 @@
             self.metrics,
             self._results,
             self._part_crashes,
+            self._streams,
             clock,
             random_source,
         )
@@ -196,6 +199,7 @@
         self._reporter.share_permits(self._permits, self._coordinators)
         self._reporter.share_part_crashes(self._part_crashes)
         self._reporter.share_store_epoch(self._store_epoch)
+        self._reporter.share_streams(self._streams)
         self._configuration_watch = FeedWatch(
             _reading_times(CONFIGURATION_DUE_SHARES, settings.configuration_bound_s)
         )
@@ -439,6 +443,7 @@
     def _on_listing(self, gone: tuple[Upstream, ...]) -> None:
         for upstream in gone:
             self._pool.close_idle(upstream.listing.address)
+        self._streams.observe_listed()
         self._queue.assign_all_slots()
 
     async def _listen(
@@ -505,6 +510,7 @@
         while True:
             await self._clock.sleep(HOUSEKEEPING_S)
             self._listings.remove_expired()
+            self._streams.observe_listed()
             # A seed that was silent for too long was removed from the peers.
             self._introduce_seeds()
             self._pool.close_expired()
--- a/src/pomelothread/gateway/queue.py
+++ b/src/pomelothread/gateway/queue.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from ..clock import Clock
@@ -112,8 +112,9 @@
 
     def n_waiting_for(self, upstream_id: str, n_most: int) -> int:
         """Return how many requests may be sent to an upstream, up to `n_most`."""
-        untried = (job for job in self.jobs if upstream_id not in job.tried)
-        return sum(1 for _ in itertools.islice(untried, n_most))
+        named = [u for u in self.upstreams if u.listing.upstream_id == upstream_id]
+        eligible = (job for job in self.jobs if _eligible(job, named))
+        return sum(1 for _ in itertools.islice(eligible, n_most))
 
 
 @dataclass(slots=True)
@@ -260,8 +261,9 @@
         self._schedule_recheck()
         self._refuse_convicted(waiters)
         upstreams = self._table.of_service(service)
+        _refuse_without_software(waiters, upstreams)
         now_s = self._clock.monotonic_s()
-        if earliest_available_s(upstreams, frozenset(), now_s) > now_s:
+        if earliest_available_s(upstreams, now_s) > now_s:
             self._refuse_unservable(service, now_s)
             return
         # Examining every waiting request is expensive, and most events do not free a
@@ -304,8 +306,8 @@
         """Refuse requests whose wait would end before any upstream takes them."""
         upstreams = self._table.of_service(service)
         for waiter in list(self._waiters[service]):
-            tried = frozenset(waiter.job.tried)
-            from_s = earliest_available_s(upstreams, tried, now_s)
+            eligible = _eligible(waiter.job, upstreams)
+            from_s = earliest_available_s(eligible, now_s)
             if from_s > gives_up_at_s(waiter.job.waiting):
                 self._waiters[service].remove(waiter)
                 if not waiter.granted.done():
@@ -347,20 +349,20 @@
         """Return the result for a request that has waited as long as it may."""
         now_s = self._clock.monotonic_s()
         upstreams = self._table.of_service(job.service)
-        if untried(available_upstreams(upstreams, now_s), job.tried):
+        if _eligible(job, available_upstreams(upstreams, now_s)):
             return NoSlot(had_upstream=True)
         limited = [u for u in upstreams if u.permits is not None and not u.is_leaving]
-        if not untried(limited, job.tried):
+        if not _eligible(job, limited):
             return NoSlot(had_upstream=False)
         # No permit has come in time.
-        from_s = earliest_available_s(upstreams, frozenset(job.tried), now_s)
+        from_s = earliest_available_s(_eligible(job, upstreams), now_s)
         return NoSlot(had_upstream=True, available_in_s=max(0.0, from_s - now_s))
 
     def _choose(
         self, job: Job, accepting: list[Upstream], now_s: float
     ) -> Upstream | None:
         requirements = _requirements_of(job, now_s)
-        candidates = untried(accepting, job.tried)
+        candidates = _eligible(job, accepting)
         peer_urgency = self._peer_urgencies.get(job.service)
         waiting = job.waiting
         is_late = now_s > waiting.on_time_until_s
@@ -384,6 +386,29 @@
         return lease
 
 
+def _eligible(job: Job, upstreams: list[Upstream]) -> list[Upstream]:
+    """Return the upstreams at which a request may run, whether they are free or not."""
+    software = job.software
+    return [
+        upstream
+        for upstream in untried(upstreams, job.tried)
+        if software is None or upstream.listing.software == software
+    ]
+
+
+def _refuse_without_software(
+    waiters: list[_Waiter], upstreams: Iterable[Upstream]
+) -> None:
+    """Refuse requests whose stream began at software that no upstream runs any more."""
+    listed = {u.listing.software for u in upstreams if not u.is_leaving}
+    for waiter in list(waiters):
+        software = waiter.job.software
+        if software is not None and software not in listed:
+            waiters.remove(waiter)
+            if not waiter.granted.done():
+                waiter.granted.set_result(NoSlot(had_upstream=False))
+
+
 def _allow(job: Job) -> Verdict:
     """Without evidence about prompts, all requests may be sent."""
     return Verdict.ALLOWED
--- a/src/pomelothread/gateway/reports.py
+++ b/src/pomelothread/gateway/reports.py
@@ -34,6 +34,7 @@
 from .queue import UpstreamQueue
 from .state import GatewayState
 from .store_epoch import StoreEpoch
+from .stream_versions import StreamVersionExchange
 from .upstreams import Upstream, UpstreamTable
 
 _log = logging.getLogger(__name__)
@@ -110,6 +111,7 @@
         self._feeds: tuple[tuple[FeedWatch, Callable[[], None]], ...] = ()
         self._coordinators: CoordinatorChoice | None = None
         self._part_crashes: PartCrashReporter | None = None
+        self._streams: StreamVersionExchange | None = None
         self._store_epoch = StoreEpoch()
         self._sent_epoch: int | None = None
         self.link = PeerLink(peers, self.on_message, self.on_gossip)
@@ -124,6 +126,12 @@
         """
         self._feeds = feeds
 
+    def share_streams(self, streams: StreamVersionExchange) -> None:
+        """Exchange with peers at which software streams began."""
+        self._streams = streams
+        streams.send = self.link.send_stream
+        self.link.on_streams = streams.on_message
+
     def share_store_epoch(self, store_epoch: StoreEpoch) -> None:
         """Tell peers at once that the store has returned from an older copy."""
         self._store_epoch = store_epoch
@@ -186,6 +194,8 @@
             self._state.versions.observe_peers(self._peers.newest_version())
         if self._part_crashes is not None:
             self._part_crashes.log_changes()
+        if self._streams is not None:
+            self._streams.tell_peers()
 
     def next_message(self) -> PeerMessage | None:
         """Return the message to send now, or None if nothing has changed.
--- /dev/null
+++ b/src/pomelothread/gateway/stream_versions.py
@@ -0,0 +1,180 @@
+"""Tells peers at which software version streams began, and asks them.
+
+A caller may take up a stream at any gateway, also after the one that began it has
+ended. While several versions of a service serve, or did lately, each stream is told to
+a few peers; a gateway that does not know a stream asks the same ones.
+"""
+
+import asyncio
+from collections import defaultdict
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+
+from ..addresses import Address
+from ..clock import Clock
+from ..policy.stream_versions import (
+    MAX_ID_CHARS,
+    N_ASKED,
+    N_KEEPERS,
+    STREAM_LIFE_S,
+    Software,
+    StreamVersions,
+    keepers,
+)
+from .peer_messages import StreamNews, StreamQuery, StreamReply
+from .peers import PeerTable
+from .upstreams import UpstreamTable
+
+# Maximum number of streams in a message.
+MAX_STREAMS_OF_MESSAGE = 30
+# Peers are asked again after this time, as a datagram may be lost, and not waited for
+# any longer after `N_QUESTIONS` times. A round trip between regions takes 60 ms.
+ANSWER_S = 0.12
+N_QUESTIONS = 3
+
+Send = Callable[[StreamNews | StreamQuery | StreamReply, Address], None]
+
+
+@dataclass(slots=True)
+class _Question:
+    """A question to peers at which software a stream began."""
+
+    n_left: int
+    is_ambiguous: bool = False
+    software: Software | None = None
+    answered: asyncio.Event = field(default_factory=asyncio.Event)
+
+
+class StreamVersionExchange:
+    """Knows at which software streams began, with the help of peers.
+
+    Parameters
+    ----------
+    upstreams : UpstreamTable
+        The listed upstreams and their versions.
+    peers : PeerTable
+        The other gateways.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(
+        self, upstreams: UpstreamTable, peers: PeerTable, clock: Clock
+    ) -> None:
+        self._upstreams = upstreams
+        self._peers = peers
+        self._clock = clock
+        self._started_s = clock.monotonic_s()
+        self._questions: dict[str, list[_Question]] = defaultdict(list)
+        self.versions = StreamVersions()
+        # Sends a message to a peer; set by the process.
+        self.send: Send = lambda message, address: None
+
+    def observe_listed(self) -> None:
+        """Record which versions are listed now."""
+        listed = {upstream.listing.software for upstream in self._upstreams.all()}
+        self.versions.observe_listed(listed, self._clock.monotonic_s())
+
+    def record_began(self, stream_id: str, software: Software) -> None:
+        """Record at which software a stream began or goes on."""
+        self.versions.record(stream_id, software, self._clock.monotonic_s())
+
+    def tell_peers(self) -> None:
+        """Tell the keepers of each stream at which software it began."""
+        untold = self.versions.take_untold()
+        if not untold:
+            return
+        hosts = self._hosts()
+        by_host: dict[str, list[tuple[str, str, str]]] = defaultdict(list)
+        for stream_id, software in untold.items():
+            for host in keepers(stream_id, hosts, N_KEEPERS):
+                row = (stream_id, software.service, software.version)
+                by_host[host].append(row)
+        for host, rows in by_host.items():
+            for first in range(0, len(rows), MAX_STREAMS_OF_MESSAGE):
+                news = StreamNews(rows[first : first + MAX_STREAMS_OF_MESSAGE])
+                self.send(news, hosts[host])
+
+    async def find(self, stream_id: str, services: Sequence[str]) -> Software | None:
+        """Find out at which software a stream began.
+
+        Parameters
+        ----------
+        stream_id : str
+            Id of the request that brought its first event; "" if it is not known.
+        services : sequence of str
+            Services that run the requests of its route.
+
+        Returns
+        -------
+        Software or None
+            None if it cannot be told. It is not guessed while several versions serve
+            or did lately.
+        """
+        now_s = self._clock.monotonic_s()
+        known = self.versions.began_at(stream_id, now_s)
+        if known is not None:
+            return known
+        sole = self.versions.sole_software(services)
+        if sole is not None and now_s - self._started_s > STREAM_LIFE_S:
+            return sole
+        question = await self._ask(stream_id, services)
+        if question.software is not None:
+            self.versions.merge(stream_id, question.software, now_s)
+            return question.software
+        return None if question.is_ambiguous else sole
+
+    async def _ask(self, stream_id: str, services: Sequence[str]) -> _Question:
+        hosts = self._hosts()
+        asked = keepers(stream_id, hosts, N_ASKED)
+        question = _Question(n_left=len(asked))
+        if not asked or len(stream_id) > MAX_ID_CHARS:
+            return question
+        self._questions[stream_id].append(question)
+        try:
+            for _ in range(N_QUESTIONS):
+                for host in asked:
+                    self.send(StreamQuery(stream_id, list(services)), hosts[host])
+                try:
+                    async with asyncio.timeout(ANSWER_S):
+                        await question.answered.wait()
+                    break
+                except TimeoutError:
+                    # A message was lost, or a peer has ended.
+                    continue
+        finally:
+            self._questions[stream_id].remove(question)
+            if not self._questions[stream_id]:
+                del self._questions[stream_id]
+        return question
+
+    def on_message(
+        self, sender: Address, message: StreamNews | StreamQuery | StreamReply
+    ) -> None:
+        """Process a message of a peer."""
+        now_s = self._clock.monotonic_s()
+        match message:
+            case StreamNews(streams):
+                for stream_id, service, version in streams:
+                    self.versions.merge(stream_id, Software(service, version), now_s)
+            case StreamQuery(stream_id, services):
+                known = self.versions.began_at(stream_id, now_s)
+                software = (known.service, known.version) if known else None
+                n_versions = max(map(self.versions.n_versions, services), default=0)
+                self.send(StreamReply(stream_id, software, n_versions), sender)
+            case StreamReply(stream_id, software, n_versions):
+                for question in self._questions.get(stream_id, ()):
+                    self._answer(question, software, n_versions)
+
+    def _answer(
+        self, question: _Question, software: tuple[str, str] | None, n_versions: int
+    ) -> None:
+        question.n_left -= 1
+        question.is_ambiguous |= n_versions > 1
+        if software is not None:
+            question.software = Software(*software)
+        if software is not None or question.n_left <= 0:
+            question.answered.set()
+
+    def _hosts(self) -> dict[str, Address]:
+        return {peer.address.host: peer.address for peer in self._peers.alive()}
--- a/src/pomelothread/gateway/upstreams.py
+++ b/src/pomelothread/gateway/upstreams.py
@@ -13,6 +13,7 @@
     RateLimitTracker,
     RateStatement,
 )
+from ..policy.stream_versions import Software
 from ..policy.upstream_health import HealthRecord
 from ..policy.upstream_speed import FirstEventModel, SpeedEstimate
 
@@ -41,6 +42,8 @@
     n_reports : int
         Number of reports that this start has written, to tell an older record from a
         newer one. It is not compared.
+    software_version : str
+        Version of its software; "" if it states none.
     """
 
     upstream_id: str
@@ -51,6 +54,12 @@
     is_leaving: bool
     started_ms: int
     n_reports: int = field(default=0, compare=False)
+    software_version: str = ""
+
+    @property
+    def software(self) -> Software:
+        """Service and version of its software."""
+        return Software(self.service, self.software_version)
 
     @property
     def start(self) -> UpstreamStart:
--- a/src/pomelothread/outcomes.py
+++ b/src/pomelothread/outcomes.py
@@ -37,6 +37,11 @@
         "The request cannot finish within its deadline",
     )
     NO_UPSTREAM = ("no-upstream", 503, "No upstream of the service is available")
+    STREAM_NOT_RESUMED = (
+        "stream-not-resumed",
+        503,
+        "No upstream is known to run the software that began the stream",
+    )
     LOG_UNAVAILABLE = ("log-unavailable", 503, "The key cannot be claimed now")
     SHUTTING_DOWN = ("shutting-down", 503, "The instance is shutting down")
     DEADLINE_PASSED = ("deadline-passed", 504, "The deadline passed while waiting")
--- a/src/pomelothread/platform/headers.py
+++ b/src/pomelothread/platform/headers.py
@@ -23,6 +23,8 @@
 # Parts of the prompt in order, as ID:TOKENS entries separated by commas.
 _PROMPT_PARTS = b"x-prompt-prefix"
 _LAST_EVENT_ID = b"last-event-id"
+# Id of the attempt that brought the first event of a stream.
+_FIRST_ATTEMPT = b"resumes"
 _EXPECTED_UPSTREAM = b"x-expect-instance"
 # Set by an upstream that has not run the request.
 _NOT_RUN = b"x-not-executed"
@@ -66,6 +68,7 @@
         deadline_ms = parse_number(header(headers, _DEADLINE))
         key = header(headers, _KEY)
         last_event_id = parse_number(header(headers, _LAST_EVENT_ID))
+        first_attempts = header_values(headers, _FIRST_ATTEMPT)
         return CallerFacts(
             # An empty ID counts as a missing one.
             request_id=header(headers, _REQUEST_ID) or None,
@@ -77,6 +80,9 @@
             n_output_tokens=tokens[1] if tokens else 0,
             has_token_counts=tokens is not None,
             last_event_id=None if last_event_id is None else int(last_event_id),
+            first_attempt_id=first_attempts[0].decode("latin-1")
+            if len(first_attempts) == 1
+            else "",
             shared_parts=parse_sized_ids(header_values(headers, _PROMPT_PARTS))[:-1],
         )
 
--- a/src/pomelothread/platform/records.py
+++ b/src/pomelothread/platform/records.py
@@ -98,6 +98,8 @@
     born: int
     # Number of its reports since then.
     seq: int = 0
+    # Version of its software.
+    version: str = ""
 
 
 def decode_configuration(value: bytes) -> Result[Configuration, str]:
@@ -165,6 +167,7 @@
         is_leaving=server.state == "draining",
         started_ms=server.born,
         n_reports=server.seq,
+        software_version=server.version,
     )
 
 
--- a/src/pomelothread/policy/upstream_choice.py
+++ b/src/pomelothread/policy/upstream_choice.py
@@ -82,17 +82,13 @@
     return [u for u in upstreams if u.listing.upstream_id not in tried]
 
 
-def earliest_available_s(
-    upstreams: Iterable[Upstream], tried: frozenset[str], now_s: float
-) -> float:
-    """Return the earliest time at which an untried upstream may take a request.
+def earliest_available_s(upstreams: Iterable[Upstream], now_s: float) -> float:
+    """Return the earliest time at which an upstream may take a request.
 
     Parameters
     ----------
     upstreams : iterable of Upstream
-        All upstreams of the service.
-    tried : frozenset of str
-        Names of the upstreams to which the request has been sent.
+        All upstreams at which the request may run.
     now_s : float
         Monotonic time.
 
@@ -101,14 +97,14 @@
     float
         Monotonic time in seconds, in the past if an upstream is neither resting nor
         known to have no permits now.
-        0.0 if all upstreams are leaving or tried, since another one may be listed at
+        0.0 if there are none that stay, since another one may be listed at
         any time.
     """
     return min(
         (
             upstream.available_from_s(now_s)
             for upstream in upstreams
-            if not upstream.is_leaving and upstream.listing.upstream_id not in tried
+            if not upstream.is_leaving
         ),
         default=0.0,
     )
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -5,6 +5,16 @@
 import pytest
 from platform_rig import gateway_rig, open_caller, second_gateway
 
+from pomelothread.policy import stream_versions
+from pomelothread.policy.stream_versions import (
+    MAX_ID_CHARS,
+    N_ASKED,
+    N_KEEPERS,
+    STREAM_LIFE_S,
+    Software,
+    StreamVersions,
+    keepers,
+)
 from standins.platform import UpstreamFault
 
 VERSIONS = ["v1", "v1", "v2", "v2", "v2", "v2"]
@@ -83,3 +93,110 @@
             ]
             assert mixed == []
             assert statuses.count(200) >= 6
+
+
+async def test_a_stream_is_known_by_its_first_attempt_however_often_it_breaks():
+    async with gateway_rig(engines=0) as rig:
+        await add_versions(rig, ["v1", "v2", "v1", "v2"])
+        for upstream in rig.upstreams.values():
+            upstream.event_interval_s = 0.01
+        await start_stream(rig, "a")
+        for n in range(6):
+            assert (await take_up(rig, f"b{n}", "a")).status == 200
+        attempts = ["a", *(f"b{n}" for n in range(6))]
+        assert len(versions_of(rig, *attempts)) == 1
+
+
+RESUMES = [
+    ([], 503),
+    ([("Resumes", "")], 503),
+    ([("Resumes", "other")], 503),
+    ([("Resumes", "a"), ("Resumes", "a")], 503),
+    ([("Resumes", "a" * 3000)], 503),
+    ([("Resumes", "a")], 200),
+]
+
+
+@pytest.mark.parametrize(("headers", "status"), RESUMES)
+@pytest.mark.parametrize("versions", [["v1", "v2"], ["v1", "v1"]])
+async def test_a_version_that_is_not_known_is_not_guessed(headers, status, versions):
+    async with gateway_rig(engines=0) as rig:
+        await add_versions(rig, versions)
+        for upstream in rig.upstreams.values():
+            upstream.event_interval_s = 0.01
+        await start_stream(rig, "a")
+        answer = await rig.call(
+            "/resumes/b", tokens="50,40", request_id="b",
+            headers=[("Last-Event-Id", "1"), *headers],
+        )  # fmt: skip
+        assert answer.status == (200 if versions == ["v1", "v1"] else status)
+        if answer.status == 503:
+            assert b"stream-not-resumed" in answer.body
+            assert versions_of(rig, "b") == set()
+
+
+@pytest.mark.parametrize("state", ["draining", None])
+async def test_a_stream_whose_version_is_leaving_is_refused_at_once(state):
+    async with gateway_rig(engines=0) as rig:
+        await add_versions(rig, ["v1"])
+        rig.upstreams["engine-0"].event_interval_s = 0.01
+        await start_stream(rig, "a")
+        await rig.add_upstream("engine-9", "engines", software_version="v2")
+        entry = rig.upstreams["engine-0"].store_entry(state) if state else None
+        rig.store.put(LISTINGS, "engine-0", entry)
+        while not rig.gateway.is_leaving("engine-0") or rig.gateway.is_leaving(
+            "engine-9"
+        ):
+            await asyncio.sleep(0.01)
+        answer = await take_up(rig, "b", "a")
+        assert (answer.status, versions_of(rig, "b")) == (503, set())
+        assert (await rig.call("/resumes/c", tokens="50,40")).status == 200
+
+
+def test_versions_of_streams_are_bounded_and_forgotten(monkeypatch):
+    versions, chat = StreamVersions(), Software("chat", "v1")
+    versions.record("old", chat, now_s=0.0)
+    versions.record("x" * (MAX_ID_CHARS + 1), chat, now_s=0.0)
+    versions.record("", chat, now_s=0.0)
+    assert len(versions) == 1
+    monkeypatch.setattr(stream_versions, "MAX_STREAMS", 3)
+    for n in range(5):
+        versions.record(f"a{n}", chat, now_s=1.0)
+    assert len(versions) == 3
+    assert versions.began_at("a4", 1.0 + STREAM_LIFE_S) == chat
+    assert versions.began_at("a4", 1.1 + STREAM_LIFE_S) is None
+
+
+# Versions that are listed and when, the only one that a stream may be of, if so.
+LISTED = [
+    ([("v1", 0.0)], "v1", False),
+    ([("v1", 0.0), ("v2", 1.0)], None, True),
+    ([("v1", 0.0), ("v2", STREAM_LIFE_S + 1.0)], "v2", False),
+    ([("v1", 0.0), ("v2", 1.0), ("v1", 50.0), ("v1", 70.0)], "v1", False),
+    ([("v1", 0.0), ("v2", 0.0), ("v3", 0.0)], None, True),
+    ([], None, False),
+]
+
+
+@pytest.mark.parametrize(("listed", "sole", "has_several"), LISTED)
+def test_streams_are_told_to_peers_while_several_versions_serve_or_did(
+    listed, sole, has_several
+):
+    versions = StreamVersions()
+    versions.record("a", Software("chat", "v1"), now_s=0.0)
+    for version, at_s in listed:
+        versions.observe_listed([Software("chat", version)], at_s)
+    found = versions.sole_software(["chat"])
+    assert (found and found.version) == sole
+    assert versions.sole_software(["chat", "desk"]) is None
+    assert bool(versions.take_untold()) is has_several
+    assert versions.take_untold() == {}
+
+
+@pytest.mark.parametrize("n_gateways", [2, 5, 410])
+def test_those_who_are_told_of_a_stream_are_asked_for_it(n_gateways):
+    hosts = [f"10.0.{n // 250}.{n % 250}" for n in range(n_gateways)]
+    for n in range(50):
+        told = keepers(f"s{n}", hosts[1:], N_KEEPERS)
+        asked = keepers(f"s{n}", [hosts[0], *hosts[2:]], N_ASKED)
+        assert set(told) <= {*asked, hosts[1]}
--- a/tools/limit_fleet.py
+++ b/tools/limit_fleet.py
@@ -152,7 +152,9 @@
 
     def add(self, until_s: float) -> None:
         facts = WaitingFacts(0, 0.0, until_s, until_s, until_s + MIN_RUN_S, True)
-        self._jobs.append((until_s, SimpleNamespace(tried=set(), waiting=facts)))
+        self._jobs.append(
+            (until_s, SimpleNamespace(tried=set(), software=None, waiting=facts))
+        )
 
     def assign_slots(self, service: str) -> None:
         now_s = self._node.fleet.clock.monotonic_s()
@@ -166,7 +168,7 @@
                 upstream.permits.take(now_s)
             self._jobs.pop(0)
             self._node.send_request(upstream)
-        from_s = max(now_s, earliest_available_s(upstreams, frozenset(), now_s))
+        from_s = max(now_s, earliest_available_s(upstreams, now_s))
         self._jobs = [entry for entry in self._jobs if entry[0] > from_s]
         if any(u.permits is not None for u in upstreams):
             jobs = [cast(Any, job) for _, job in self._jobs]
