Let no odd record stop those who read the list, the configuration or notes

Other operators saw machines end again and again, or stop following the list of servers, after another writer had left one odd entry. Cause: msgspec raises a RecursionError for deep nesting, also in a field that is not used, and a ValueError for an integer of thousands of digits; most decoders caught its own errors only. Here a deeply nested field and a port of 5,000 digits raised out of a full read, which then never succeeded; a start or a number of slots of 10**30 was taken as it was and could not be encoded for peers. Change: all decoders of what another process wrote reject by the same exceptions (undecodable.py); integers of records have bounds; a port has five digits at most. A full read in which one record fails goes on with the others, one by one. The log client of entries and agents answers a failure for a batch with such a record; it does not get past it yet.

--- a/src/pomelothread/addresses.py
+++ b/src/pomelothread/addresses.py
@@ -5,6 +5,7 @@
 from functools import lru_cache
 
 _MAX_PORT = 65_535
+_MAX_PORT_DIGITS = 5
 # Size of the cache: the instance list repeats the same addresses each second.
 _MAX_CACHED = 8_192
 
@@ -62,7 +63,7 @@
     host, separator, port = text.rpartition(":")
     if not separator or not port.isascii() or not port.isdigit():
         return None
-    if int(port) > _MAX_PORT:
+    if len(port) > _MAX_PORT_DIGITS or int(port) > _MAX_PORT:
         return None
     bracketed = host.startswith("[") and host.endswith("]")
     try:
--- a/src/pomelothread/gateway/crashes.py
+++ b/src/pomelothread/gateway/crashes.py
@@ -14,6 +14,7 @@
 from ..clock import Clock
 from ..events import Event, log_event
 from ..policy.crash_guard import CrashGuard
+from ..undecodable import UNDECODABLE
 from .feeds import KeyedRecord
 from .storing_again import Append, store_again
 
@@ -75,7 +76,7 @@
             return
         try:
             upstream_ids = msgspec.json.decode(record.value, type=list[str])
-        except msgspec.MsgspecError as error:
+        except UNDECODABLE as error:
             log_event(_log, Event.FEED_MALFORMED, feed="crashes", detail=error)
             return
         self._stored[record.key] = frozenset(upstream_ids)
@@ -86,7 +87,7 @@
         self._stored.clear()
         for record in records:
             self.apply(record)
-        missing = [f for f in self._guard.fingerprints() if self._missing_value(f)]
+        missing = [f for f in self._guard.fingerprints() if self.missing_value(f)]
         if missing:
             self._start(self._store_again(missing))
 
@@ -94,13 +95,13 @@
         await store_again(
             "crashes",
             fingerprints,
-            self._missing_value,
+            self.missing_value,
             self._append,
             self._clock,
             self.rewrite_delay_s(),
         )
 
-    def _missing_value(self, fingerprint: str) -> bytes | None:
+    def missing_value(self, fingerprint: str) -> bytes | None:
         """Return the record of a fingerprint, if the store does not have all of it."""
         known = self._guard.upstreams_of(fingerprint)
         if known <= self._stored.get(fingerprint, frozenset()):
--- a/src/pomelothread/gateway/feeds.py
+++ b/src/pomelothread/gateway/feeds.py
@@ -232,7 +232,7 @@
                 self._end_outage()
                 self._log_new_epoch(records)
                 if self._offset is None:
-                    self._apply_all(records.records)
+                    self._apply_full_read(records.records)
                 else:
                     for record in records.records:
                         self._apply_one(record)
@@ -300,6 +300,21 @@
             )
             self._on_read()
 
+    def _apply_full_read(self, records: tuple[KeyedRecord, ...]) -> None:
+        try:
+            self._apply_all(records)
+        except Exception as error:
+            log_event(
+                _log,
+                Event.FEED_RECORD_FAILED,
+                exc_info=error,
+                feed=self._name,
+                key="",
+                detail=repr(error),
+            )
+            for record in records:
+                self._apply_one(record)
+
     def _apply_one(self, record: KeyedRecord) -> None:
         try:
             self._apply(record)
--- a/src/pomelothread/gateway/part_crashes.py
+++ b/src/pomelothread/gateway/part_crashes.py
@@ -9,7 +9,7 @@
 import logging
 import random
 from collections.abc import Callable, Coroutine, Iterable
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
@@ -23,6 +23,7 @@
     Verdict,
 )
 from ..policy.departures import UpstreamStart
+from ..undecodable import MAX_INTEGER, UNDECODABLE
 from .feeds import KeyedRecord
 from .jobs import Job
 from .peer_messages import PartCrashReport, SoundPart
@@ -42,14 +43,17 @@
 KEY_BYTES = 12
 
 
+_Integer = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+
+
 class _StoredCrash(msgspec.Struct):
     part: str
-    depth: int
+    depth: _Integer
     upstream_id: str
-    started_ms: int
+    started_ms: _Integer
     body: str
-    sent_at_ms: int
-    crashed_at_ms: int
+    sent_at_ms: _Integer
+    crashed_at_ms: _Integer
 
 
 class PartCrashReporter:
@@ -218,7 +222,7 @@
             return
         try:
             stored = msgspec.json.decode(record.value, type=_StoredCrash)
-        except msgspec.MsgspecError as error:
+        except UNDECODABLE as error:
             log_event(_log, Event.FEED_MALFORMED, feed="part crashes", detail=error)
             return
         crash = self._decode(stored)
--- a/src/pomelothread/gateway/quota_notes.py
+++ b/src/pomelothread/gateway/quota_notes.py
@@ -11,6 +11,7 @@
 from ..clock import Clock
 from ..events import Event, log_event
 from ..policy.quotas import QuotaNote, QuotaTracker
+from ..undecodable import UNDECODABLE
 from .feeds import RETRY_PAUSE_S, FeedFault, KeyedFeed, KeyedRecord, Records
 from .store_epoch import StoreEpoch
 from .storing_again import Append
@@ -122,7 +123,7 @@
     def _restore_notes(self, result: Result[Records, FeedFault]) -> None:
         notes = {}
         for record in result.unwrap().records:
-            note = _decode(record)
+            note = decode_note(record)
             if note is not None:
                 notes[record.key] = note
         now_s, unix_ms = self._clock.monotonic_s(), _unix_ms(self._clock.now())
@@ -147,12 +148,13 @@
         self._was_last_stored = was_stored
 
 
-def _decode(record: KeyedRecord) -> QuotaNote | None:
+def decode_note(record: KeyedRecord) -> QuotaNote | None:
+    """Decode a note; None for an invalid one, which is logged."""
     if record.value is None:
         return None
     try:
         return msgspec.json.decode(record.value, type=QuotaNote)
-    except msgspec.MsgspecError as error:
+    except UNDECODABLE as error:
         log_event(_log, Event.FEED_MALFORMED, feed="quotas", detail=error)
         return None
 
--- a/src/pomelothread/http1/messages.py
+++ b/src/pomelothread/http1/messages.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from ..undecodable import UNDECODABLE
+
 # Lists with more entries count as malformed.
 MAX_SIZED_IDS = 64
 # Ids have up to 128 bits.
@@ -139,7 +141,7 @@
         return None
     try:
         number = msgspec.json.decode(value, type=float)
-    except msgspec.MsgspecError:
+    except UNDECODABLE:
         return None
     return number if 0 <= number < math.inf else None
 
--- a/src/pomelothread/instance_list/client.py
+++ b/src/pomelothread/instance_list/client.py
@@ -7,6 +7,7 @@
 
 from ..clock import Clock
 from ..peers.http_exchange import ExchangeClient, ResponseHead
+from ..undecodable import UNDECODABLE
 from .membership import LEAVING, LIVE, Instance, Membership
 
 POLL_PERIOD_S = 1.0
@@ -96,7 +97,7 @@
     """
     try:
         groups = _decoder.decode(body)
-    except msgspec.DecodeError as error:
+    except UNDECODABLE as error:
         return Failure(f"malformed: {error}")
     instances = [
         _parse_target_group(group)
--- a/src/pomelothread/log/client.py
+++ b/src/pomelothread/log/client.py
@@ -10,6 +10,7 @@
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPClientError, HTTPRequest, HTTPResponse
 
+from ..undecodable import UNDECODABLE
 from .records import LogBatch, LogFailure, LogFault, LogRecord, as_object
 
 CONTENT_TYPE = "application/vnd.kafka.json.v2+json"
@@ -135,7 +136,7 @@
         try:
             appended = msgspec.json.decode(response.body, type=_AppendResponse)
             return Success(appended.offsets[0].offset)
-        except (msgspec.MsgspecError, IndexError) as error:
+        except (*UNDECODABLE, IndexError) as error:
             detail = f"malformed response to an append: {error}"
             return Failure(LogFailure(LogFault.UNANSWERED, detail))
 
@@ -166,7 +167,7 @@
         if response.code == 404:
             try:
                 first = msgspec.json.decode(response.body, type=_ExpiredOffsetResponse)
-            except msgspec.MsgspecError:
+            except UNDECODABLE:
                 return Failure(_failure_of(response))
             n_expired = first.first_offset - offset
             offset = first.first_offset
@@ -177,7 +178,7 @@
             return Failure(_failure_of(response))
         try:
             wire = msgspec.json.decode(response.body, type=tuple[_WireRecord, ...])
-        except msgspec.MsgspecError as error:
+        except UNDECODABLE as error:
             detail = f"malformed response to a read: {error}"
             return Failure(LogFailure(LogFault.UNANSWERED, detail))
         records = tuple(
--- a/src/pomelothread/operators/nodes.py
+++ b/src/pomelothread/operators/nodes.py
@@ -9,6 +9,8 @@
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPClientError, HTTPRequest
 
+from ..undecodable import UNDECODABLE
+
 STATUS_PATH = "/control/status"
 MAX_CLIENTS = 50
 
@@ -65,7 +67,7 @@
             return NodeResult(address, Failure(str(response.error)))
         try:
             status = msgspec.json.decode(response.body, type=NodeStatus)
-        except msgspec.MsgspecError as error:
+        except UNDECODABLE as error:
             return NodeResult(address, Failure(f"malformed response: {error}"))
         return NodeResult(address, Success(status))
 
--- a/src/pomelothread/operators/snapshots.py
+++ b/src/pomelothread/operators/snapshots.py
@@ -5,6 +5,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from ..undecodable import UNDECODABLE
 from .deltas import DigestedSheet, RowsPut, SheetDelta, apply_delta
 from .digests import COLLECTIONS, EMPTY_TREE, compact_row
 from .publications import FORMAT
@@ -99,7 +100,7 @@
     """
     try:
         snapshot = msgspec.msgpack.decode(data, type=Snapshot)
-    except msgspec.DecodeError as error:
+    except UNDECODABLE as error:
         return Failure(f"malformed snapshot: {error}")
     if snapshot.format > FORMAT:
         return Failure(f"format {snapshot.format} is newer than {FORMAT}")
--- a/src/pomelothread/peers/control.py
+++ b/src/pomelothread/peers/control.py
@@ -7,6 +7,7 @@
 import pynng
 
 from ..events import Event, log_event
+from ..undecodable import UNDECODABLE
 from .messages import Message, decode_message, encode_message
 
 _logger = logging.getLogger(__name__)
@@ -164,6 +165,6 @@
     def _split_frame(self, data: bytes) -> list[msgspec.Raw]:
         try:
             return _frame_decoder.decode(data)
-        except msgspec.DecodeError:
+        except UNDECODABLE:
             self.n_unknown_messages += 1
             return []
--- a/src/pomelothread/peers/messages.py
+++ b/src/pomelothread/peers/messages.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from ..undecodable import UNDECODABLE
+
 PROTOCOL_VERSION = 1
 MIN_PROTOCOL_VERSION = 1
 
@@ -220,5 +222,5 @@
     """
     try:
         return _decoder.decode(data)
-    except msgspec.DecodeError:
+    except UNDECODABLE:
         return None
--- a/src/pomelothread/platform/records.py
+++ b/src/pomelothread/platform/records.py
@@ -1,6 +1,7 @@
 """Decodes what operators and upstreams write into the platform's store."""
 
 import logging
+from typing import Annotated
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -18,6 +19,7 @@
 from ..gateway.feeds import KeyedRecord
 from ..gateway.upstreams import UpstreamListing
 from ..http1.server import ServerLimits
+from ..undecodable import MAX_INTEGER, UNDECODABLE
 
 _log = logging.getLogger(__name__)
 
@@ -30,6 +32,11 @@
 _STATES = frozenset(("ready", "draining"))
 
 
+# Positive number that is not absurdly large.
+_Count = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
+_Integer = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+
+
 class _Split(msgspec.Struct):
     service: str
     weight: float
@@ -80,7 +87,7 @@
 
 
 class _Config(msgspec.Struct):
-    version: int
+    version: _Integer
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits
@@ -92,12 +99,12 @@
     # IP and port.
     address: str
     zone: str
-    slots: int
+    slots: _Count
     state: str
     # Unix time of its start in milliseconds.
-    born: int
+    born: _Integer
     # Number of its reports since then.
-    seq: int = 0
+    seq: _Integer = 0
     # Version of its software.
     version: str = ""
 
@@ -126,7 +133,7 @@
                 limits=_convert_limits(config.limits),
             )
         )
-    except (msgspec.MsgspecError, KeyError, ValueError) as error:
+    except (*UNDECODABLE, KeyError) as error:
         return Failure(f"{type(error).__name__}: {error}")
 
 
@@ -145,7 +152,7 @@
     """
     try:
         server = msgspec.json.decode(record.value or b"", type=_Server)
-    except (msgspec.MsgspecError, ValueError) as error:
+    except UNDECODABLE as error:
         _log_unusable(record.key, str(error))
         return None
     address = parse_address(server.address)
@@ -155,8 +162,8 @@
     if server.state not in _STATES:
         _log_unusable(record.key, f"state {server.state!r}")
         return None
-    if server.slots < 1 or server.born < 1:
-        _log_unusable(record.key, f"slots {server.slots}, born {server.born}")
+    if server.born < 1:
+        _log_unusable(record.key, f"born {server.born}")
         return None
     return UpstreamListing(
         upstream_id=record.key,
--- a/src/pomelothread/platform/store.py
+++ b/src/pomelothread/platform/store.py
@@ -16,6 +16,7 @@
 from ..gateway.feeds import FeedFault, KeyedRecord, Records
 from ..http1.client import ConnectionPool, Exchange, ExchangeFault
 from ..http1.messages import Headers, Request, header
+from ..undecodable import UNDECODABLE
 
 _log = logging.getLogger(__name__)
 
@@ -108,7 +109,7 @@
             try:
                 page = msgspec.json.decode(answer.body, type=_NewestPage)
                 records += [_decode_item(item) for item in page.items]
-            except (msgspec.MsgspecError, ValueError) as error:
+            except UNDECODABLE as error:
                 log_event(_log, Event.FEED_MALFORMED, feed=topic, detail=error)
                 return Failure(FeedFault.UNAVAILABLE)
             # The pages are not one snapshot. Following from the end of the first
--- a/src/pomelothread/policy/quotas.py
+++ b/src/pomelothread/policy/quotas.py
@@ -14,9 +14,12 @@
 import bisect
 import math
 from dataclasses import dataclass, field
+from typing import Annotated
 
 import msgspec
 
+from ..undecodable import MAX_INTEGER
+
 # A peer that has sent no report for this long is assumed to use its equal share. Peers
 # send one at least once a second.
 PEER_SILENT_AFTER_S = 1.5
@@ -87,9 +90,9 @@
         Epoch of the store when it was written; 0 if the store has none.
     """
 
-    written_ms: int
+    written_ms: Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
     used: dict[str, list[tuple[float, float]]]
-    epoch: int = 0
+    epoch: Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)] = 0
 
 
 class _Window:
--- a/src/pomelothread/upstreams/cache_events.py
+++ b/src/pomelothread/upstreams/cache_events.py
@@ -13,6 +13,8 @@
 import zmq
 import zmq.asyncio
 
+from ..undecodable import UNDECODABLE
+
 # At 16 tokens a block this covers a million tokens; an entry of the index takes
 # about 100 bytes.
 MAX_BLOCKS = 65_536
@@ -142,7 +144,7 @@
         self._last_payload = payload
         try:
             batch = _decoder.decode(payload)
-        except msgspec.DecodeError:
+        except UNDECODABLE:
             self._clear_after_malformed()
             return
         self.counts.n_batches += 1
--- a/src/pomelothread/upstreams/management.py
+++ b/src/pomelothread/upstreams/management.py
@@ -13,6 +13,7 @@
     NotConnected,
     ResponseHead,
 )
+from ..undecodable import UNDECODABLE
 
 FENCING_HEADER = "X-Fencing-Token"
 MODELS_PATH = "/v1/models"
@@ -233,7 +234,7 @@
             return None
         try:
             listed = _models_decoder.decode(body)
-        except msgspec.DecodeError:
+        except UNDECODABLE:
             return None
         return frozenset(model.id for model in listed.data)
 
