Answer every request before a planned stop ends the process

Other operators saw requests that came late in the grace of a planned stop taken, passed on, and cut at its end with no answer, also such that may not be repeated. Cause: new requests are refused 2.6 s after SIGTERM, but those that wait in the queue by then were still sent, however late; what was open at the end of the grace was closed without a word. Change: when new requests are refused, waiting ones that were never sent are refused too (shutting-down, 503), so that other gateways serve them. Just before the end, what is still open is answered: not known if it was sent (504), not run otherwise; a stream that has begun is cut, as it cannot be completed.

--- a/src/pomelothread/gateway/forwarding.py
+++ b/src/pomelothread/gateway/forwarding.py
@@ -112,6 +112,15 @@
         self._streams = streams
         self._clock = clock
         self._random = random_source
+        # Time limits of the requests that are open.
+        self._open: set[asyncio.Timeout] = set()
+        self._is_ending = False
+
+    def end_open_requests(self) -> None:
+        """Answer all open requests now, before the process ends."""
+        self._is_ending = True
+        for limit in self._open:
+            limit.reschedule(asyncio.get_running_loop().time())
 
     async def handle(self, request: Request, responder: Responder) -> None:
         """Answer a request; cancelled when the caller disconnects."""
@@ -153,12 +162,14 @@
         outcome = "caller left"
         try:
             async with asyncio.timeout(left_s) as deadline:
+                self._open.add(deadline)
                 outcome = await self._try_upstreams(job, responder)
         except TimeoutError:
             if not deadline.expired():
                 raise
             outcome = self._end_at_deadline(job, responder)
         finally:
+            self._open.discard(deadline)
             if job.n_sent == 0:
                 self._admission.refund_quota(job)
             self._record_end(job, outcome)
@@ -302,6 +313,8 @@
         reason = Reason.OVERLOADED if no_slot.had_upstream else Reason.NO_UPSTREAM
         if no_slot.is_convicted:
             reason = Reason.CONVICTED
+        if no_slot.is_stopping:
+            reason = Reason.SHUTTING_DOWN
         if job.software is not None and not no_slot.had_upstream:
             reason = Reason.STREAM_NOT_RESUMED
             self._log_not_resumed(job, f"no upstream for {job.software}")
@@ -359,15 +372,19 @@
         return str(failure.status)
 
     def _end_at_deadline(self, job: Job, responder: Responder) -> str:
+        when = "the end of the process" if self._is_ending else "the deadline"
         if responder.has_started:
             responder.abort()
-            return "cut at the deadline"
+            return f"cut at {when}"
         if job.may_have_run:
             self._respond_not_known(job, responder, Reason.UPSTREAM_SILENT)
-            return "not known at the deadline"
-        refusal = NotRun(Reason.DEADLINE_UNREACHABLE, retry_after_s=0.0)
+            return f"not known at {when}"
+        reason = Reason.DEADLINE_UNREACHABLE
+        if self._is_ending:
+            reason = Reason.SHUTTING_DOWN
+        refusal = NotRun(reason, retry_after_s=0.0)
         self._refuse(responder, job.facts, refusal, job.waiting.arrived_s)
-        return "not run at the deadline"
+        return f"not run at {when}"
 
     def _respond_not_known(
         self, job: Job, responder: Responder, reason: Reason
--- a/src/pomelothread/gateway/process.py
+++ b/src/pomelothread/gateway/process.py
@@ -61,8 +61,10 @@
 DRAIN_ACCEPT_S = 2.6
 # How long the connections that were accepted last have to send their request.
 LAST_READ_S = 0.25
-# Requests that are still open are abandoned this long before SIGKILL.
+# The process ends this long before SIGKILL.
 STOP_MARGIN_S = 0.4
+# Time for sending the answers to requests that are still open then.
+LAST_ANSWERS_S = 0.3
 HOUSEKEEPING_S = 0.5
 # A process that has just started may not know of the gateways before it.
 MIN_UPTIME_TO_TRY_S = 10.0
@@ -529,11 +531,14 @@
         )
         await self._clock.sleep(DRAIN_ACCEPT_S)
         self._state.refuses_new = True
+        # What has not been sent by now might not end in time; other gateways serve it.
+        self._queue.refuse_unsent()
         deadline_s = started_s + self._settings.grace_s - STOP_MARGIN_S
-        while self._clock.monotonic_s() < deadline_s:
+        while self._clock.monotonic_s() < deadline_s - LAST_ANSWERS_S:
             if self._state.n_open == 0:
                 break
             await self._clock.sleep(0.05)
+        self._forwarder.end_open_requests()
         callers.close()
         await self._clock.sleep(LAST_READ_S)
         for connection in self._connections:
--- a/src/pomelothread/gateway/queue.py
+++ b/src/pomelothread/gateway/queue.py
@@ -78,11 +78,14 @@
         Seconds until an upstream may take a request again, if none of them does now.
     is_convicted : bool
         Whether a part of its prompt crashes upstreams.
+    is_stopping : bool
+        Whether this process stops before the request could end.
     """
 
     had_upstream: bool
     available_in_s: float = 0.0
     is_convicted: bool = False
+    is_stopping: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -144,6 +147,7 @@
         self._random = random_source
         self._waiters: dict[str, list[_Waiter]] = {}
         self._peer_urgencies: dict[str, int] = {}
+        self._refuses_unsent = False
         self._recheck_timer: asyncio.TimerHandle | None = None
         self._serve_timer: asyncio.TimerHandle | None = None
         self.load_changed: asyncio.Event = asyncio.Event()
@@ -194,6 +198,8 @@
             `NoSlot` if its maximum wait has passed or would pass before an upstream
             is available, or if it is shed.
         """
+        if self._refuses_unsent and job.n_sent == 0:
+            return NoSlot(had_upstream=True, is_stopping=True)
         loop = asyncio.get_running_loop()
         waiter = _Waiter(job, loop.create_future())
         self._waiters.setdefault(job.service, []).append(waiter)
@@ -219,6 +225,16 @@
             if waiter.granted.done() and not waiter.granted.cancelled():
                 self._release_if_cancelled(waiter)
 
+    def refuse_unsent(self) -> None:
+        """Refuse all requests that have not been sent, now and from now on."""
+        self._refuses_unsent = True
+        for waiters in self._waiters.values():
+            for waiter in list(waiters):
+                if waiter.job.n_sent == 0 and not waiter.granted.done():
+                    waiters.remove(waiter)
+                    no_slot = NoSlot(had_upstream=True, is_stopping=True)
+                    waiter.granted.set_result(no_slot)
+
     def _shed_if_full(self) -> None:
         """Refuse the least urgent request if the queue is over its limits."""
         waiting = [w for waiters in self._waiters.values() for w in waiters]
