Let the store return from copies and versions serve side by side in the soak

Cause: the soak knew neither, so it could show neither incident. Change: the store is copied four times a second; up to twice a run it is away for up to 2 s and returns from a copy of up to 6 s, and operator and upstreams write again within a second. Engines run two software versions; callers take up the streams that broke off, at any gateway. Two checks from outside: at most two streams go on at another version, by the seal of the first answer and the upstream of each run; and streams that are taken up go on at least half as often as new ones begin, from 12 on.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -21,6 +21,7 @@
     SAFETY_CHECKS,
     TIMED_CHECKS,
     CallerRequest,
+    version_of_answer,
     violations,
 )
 from soak_plan import PlannedFault, plan_soak
@@ -45,6 +46,14 @@
 ROUTES = ("drafts", "resumes", "orders", "lookups")
 
 
+def _stream_headers(request: CallerRequest) -> list[tuple[str, str]]:
+    headers = [("X-Prompt-Prefix", request.prompt)]
+    if request.first_id:
+        headers.append(("Last-Event-Id", str(request.after_event)))
+        headers.append(("Resumes", request.first_id))
+    return headers
+
+
 @dataclass(slots=True)
 class Verdict:
     """Result of one soak run."""
@@ -72,6 +81,8 @@
         self._deployment = deployment
         self._random = random.Random(seed)
         self._n_sent = 0
+        # Streams that broke off, to be taken up by their callers.
+        self._broken: list[CallerRequest] = []
         self.is_stopping = False
 
     async def send_until_stopped(self) -> None:
@@ -81,6 +92,11 @@
             if connection is not None and self._random.random() > KEEP_ALIVE_SHARE:
                 connection[0].close()
                 connection = None
+            if self._broken:
+                # A try of its own, on a new connection.
+                taken_up = await self._call(None, False, broken=self._broken.pop())
+                if taken_up is not None:
+                    taken_up[0].close()
             connection = await self._call(
                 connection, self._random.random() < DISCONNECT_SHARE
             )
@@ -100,6 +116,7 @@
         connection: tuple[Caller, int] | None,
         disconnects_early: bool,
         organisation: str | None = None,
+        broken: CallerRequest | None = None,
     ) -> tuple[Caller, int] | None:
         """Send one request; return its connection if that can be reused.
 
@@ -110,6 +127,8 @@
             self._random.choice(self._numbers_in_rotation()),
         )
         request = self._make_request(number, organisation)
+        if broken is not None:
+            self._continue_stream(request, broken)
         self._deployment.history.requests.append(request)
         if caller is None:
             address = self._deployment.gateways[number].callers_address
@@ -130,7 +149,7 @@
             request_id=request.request_id,
             key=KEYS[request.organisation],
             tokens=f"{request.n_tokens - 40},40" if is_stream else None,
-            headers=[("X-Prompt-Prefix", request.prompt)] if is_stream else (),
+            headers=_stream_headers(request) if is_stream else (),
             deadline_ms=round(request.deadline_s * 1000),
         )
         wait_s = request.deadline_s + ANSWER_TIMEOUT_MARGIN_S
@@ -153,6 +172,25 @@
         request.status, request.headers = answer.status, answer.headers
         request.answer, request.is_complete = answer.body, answer.is_complete
         request.ended_s = self._deployment.now_s()
+        is_broken = request.status == 200 and not request.is_complete
+        if request.route == "resumes" and is_broken and b"\n\n" in request.answer:
+            self._broken.append(request)
+
+    def _continue_stream(self, request: CallerRequest, broken: CallerRequest) -> None:
+        """Make a request take up the stream of one that broke off."""
+        request.route = "resumes"
+        request.target = f"/resumes/{request.request_id}"
+        request.organisation = broken.organisation
+        request.n_tokens = broken.n_tokens
+        request.crashing_part = broken.crashing_part
+        request.first_id = broken.first_id or broken.request_id
+        request.after_event = broken.after_event + broken.answer.count(b"\n\n")
+        first = broken
+        if broken.first_id:
+            requests = self._deployment.history.requests
+            first = next(r for r in requests if r.request_id == broken.first_id)
+        version = version_of_answer(self._deployment.history, first)
+        request.version_serves = self._deployment.has_version(version or "")
 
     def _numbers_in_rotation(self) -> list[int]:
         return [gateway.number for gateway in self._deployment.in_rotation]
@@ -224,6 +262,7 @@
         background = [
             asyncio.ensure_future(deployment.run_balancer()),
             asyncio.ensure_future(deployment.probe_versions()),
+            asyncio.ensure_future(deployment.copy_store()),
         ]
         callers = [
             asyncio.ensure_future(load.send_until_stopped()) for _ in range(N_CALLERS)
--- a/tools/soak_checks.py
+++ b/tools/soak_checks.py
@@ -34,6 +34,11 @@
 MAX_LATE_RUNS = 3
 CONVICTED = b"urn:pomelothread:problem:convicted"
 
+# Streams that may hold events of two software versions, and number of streams that
+# callers take up from which on the share of those that go on counts.
+MAX_MIXED_STREAMS = 2
+MIN_TAKEN_UP = 12
+
 QUOTA_ORGANISATION = "guild"
 N_EVENTS = 12
 # Routes whose requests must run at most once.
@@ -66,6 +71,12 @@
         Deadline that was sent with the request, in seconds after `sent_s`.
     crashing_part : str
         Part of its prompt that crashes engines, or "".
+    first_id : str
+        Request that brought the first event of the stream that it takes up, or "".
+    after_event : int
+        Number of events of that stream that its caller has.
+    version_serves : bool
+        Whether an upstream of the stream's software version took requests then.
     was_connected : bool
         Whether a connection to the gateway could be opened.
     caller_disconnected : bool
@@ -92,6 +103,9 @@
     sent_s: float
     deadline_s: float
     crashing_part: str = ""
+    first_id: str = ""
+    after_event: int = 0
+    version_serves: bool = False
     was_connected: bool = True
     caller_disconnected: bool = False
     status: int = 0
@@ -193,6 +207,8 @@
     crashes: list[tuple[str, float]] = field(default_factory=list)
     # Gateway number and time of each SIGTERM.
     stops: list[tuple[int, float]] = field(default_factory=list)
+    # Software version of each upstream, by its id.
+    software: dict[str, str] = field(default_factory=dict)
     # Requests sent from this time on follow the last fault; nine tenths must succeed.
     recovery_from_s: float | None = None
 
@@ -267,12 +283,11 @@
 
 def streams_are_in_order(history: History) -> Iterator[str]:
     """Find streams with lost or repeated events, or reported complete too early."""
-    whole = b"".join(
-        f"id: {n}\ndata: token {n}\n\n".encode() for n in range(1, N_EVENTS + 1)
-    )
+    events = [f"id: {n}\ndata: token {n}\n\n".encode() for n in range(1, N_EVENTS + 1)]
     for request in history.requests:
         if request.status != 200 or request.route not in ("drafts", "resumes"):
             continue
+        whole = b"".join(events[request.after_event :])
         is_whole = request.answer == whole
         if not whole.startswith(request.answer) or (
             request.is_complete and not is_whole
@@ -280,6 +295,50 @@
             yield f"{request.request_id} got {request.answer[-120:]!r}"
 
 
+def version_of_answer(history: History, request: CallerRequest) -> str | None:
+    """Return the software version that began an answer, by its seal; None for none."""
+    upstream_id = request.headers.get(SEAL_HEADER, "").removeprefix("seal.")
+    return history.software.get(upstream_id)
+
+
+def streams_are_of_one_version(history: History) -> Iterator[str]:
+    """Find streams that went on at another software version."""
+    requests = {request.request_id: request for request in history.requests}
+    mixed = set()
+    for run in history.runs:
+        request = requests.get(run.request_id)
+        if request is None or "last-event-id" not in run.headers:
+            continue
+        first = requests[request.first_id or request.request_id]
+        began_at = version_of_answer(history, first)
+        if began_at is not None and began_at != history.software[run.upstream_id]:
+            mixed.add(first.request_id)
+    if len(mixed) > MAX_MIXED_STREAMS:
+        yield f"{len(mixed)} streams went on at another version: {sorted(mixed)}"
+
+
+def streams_go_on(history: History) -> Iterator[str]:
+    """Find out whether streams that are taken up go on less than half as often."""
+    undisturbed = [
+        request
+        for request in history.requests
+        if request.route == "resumes"
+        and not request.caller_disconnected
+        and history.is_undisturbed(request.gateway, request.sent_s, request.sent_s)
+    ]
+    taken_up = [r for r in undisturbed if r.first_id and r.version_serves]
+    new = [r for r in undisturbed if not r.first_id and not r.crashing_part]
+    if len(taken_up) < MIN_TAKEN_UP or not new:
+        return
+    share = sum(r.status == 200 for r in taken_up) / len(taken_up)
+    share_of_new = sum(r.status == 200 for r in new) / len(new)
+    if share < share_of_new / 2:
+        yield (
+            f"{share:.2f} of {len(taken_up)} streams went on, {share_of_new:.2f} of "
+            f"{len(new)} new ones began"
+        )
+
+
 def runs_were_asked(history: History) -> Iterator[str]:
     """Find runs that differ from what was sent, or that carry an API key."""
     requests_by_id = {request.request_id: request for request in history.requests}
@@ -515,6 +574,8 @@
     "refusals are true": refusals_are_true,
     "answers are whole": answers_are_whole,
     "streams are in order": streams_are_in_order,
+    "streams are of one version": streams_are_of_one_version,
+    "streams go on": streams_go_on,
     "runs were asked for": runs_were_asked,
     "versions never go back": versions_never_go_back,
     "repeats keep to the budget": repeats_keep_to_the_budget,
--- a/tools/soak_plan.py
+++ b/tools/soak_plan.py
@@ -56,6 +56,14 @@
     for_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class StoreRestored:
+    """The store is away and returns from a copy that was made before."""
+
+    age_s: float
+    away_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class UpstreamLink:
     """The link to one upstream is faulty."""
@@ -125,6 +133,7 @@
     | Pause
     | StoreLink
     | StoreFault
+    | StoreRestored
     | UpstreamLink
     | UpstreamTrouble
     | NamesLimit
@@ -166,6 +175,8 @@
 # Mean time between the starts of two limits, and of two cuts between gateways.
 MEAN_LIMIT_GAP_S = 4.0
 MEAN_PEER_CUT_GAP_S = 6.0
+# Maximum age of the copy from which the store returns.
+MAX_COPY_AGE_S = 6.0
 LIMITS_PER_S = (0.0, 0.5, 1.9, 5.0)
 
 
@@ -198,6 +209,7 @@
     plan += _plan_endless(seed, duration_s)
     plan += _plan_limits(seed, duration_s)
     plan += _plan_crashing_parts(seed, duration_s)
+    plan += _plan_restored(seed, duration_s)
     return sorted(plan, key=lambda planned: planned.at_s)
 
 
@@ -258,6 +270,21 @@
     return plan
 
 
+def _plan_restored(seed: int, duration_s: float) -> list[PlannedFault]:
+    """Draw up to two returns of the store from a copy.
+
+    They use a generator of their own, for the same reason.
+    """
+    rng = random.Random(f"restored {seed}")
+    plan = []
+    for _ in range(rng.randint(0, 2)):
+        at_s = round(rng.uniform(FIRST_FAULT_S, duration_s), 2)
+        age_s = round(rng.uniform(0.3, MAX_COPY_AGE_S), 2)
+        away_s = round(rng.uniform(0.0, 2.0), 2)
+        plan.append(PlannedFault(at_s, StoreRestored(age_s, away_s)))
+    return plan
+
+
 def _draw_fault(rng: random.Random) -> Fault:
     gateway = rng.randrange(N_GATEWAYS)
     upstream = rng.randrange(N_ENGINES + N_DESKS)
--- a/tools/soak_world.py
+++ b/tools/soak_world.py
@@ -6,6 +6,7 @@
 import socket
 import sys
 import time
+from collections import deque
 from collections.abc import Callable
 from contextlib import suppress
 from functools import partial
@@ -16,6 +17,7 @@
 from soak_checks import Arrival, Disruption, History, NamedLimit, Probe, Run
 from soak_gateway import cut_path
 from soak_plan import (
+    MAX_COPY_AGE_S,
     N_DESKS,
     N_ENGINES,
     N_GATEWAYS,
@@ -31,11 +33,12 @@
     Stop,
     StoreFault,
     StoreLink,
+    StoreRestored,
     UpstreamLink,
     UpstreamTrouble,
 )
 from standins.fault_proxy import FaultProxy, LinkFault
-from standins.platform import PlatformStore, PlatformUpstream, UpstreamFault
+from standins.platform import PlatformStore, PlatformUpstream, Topic, UpstreamFault
 from standins.platform_caller import open_caller
 from standins.platform_configuration import make_configuration, make_route
 
@@ -43,8 +46,14 @@
 KEYS = {"club": "key-of-club", soak_checks.QUOTA_ORGANISATION: "key-of-guild"}
 EVENT_INTERVAL_S = 0.02
 LINK_DELAY_S = 0.25
+# Interval at which copies of the store are made, and time after its return from one in
+# which operator and upstreams write again what it has lost.
+COPY_INTERVAL_S = 0.25
+WRITTEN_AGAIN_S = 1.0
 # Time after which a crashed engine accepts connections again.
 RESTART_S = 1.0
+# Number of software versions of engines that serve side by side.
+N_VERSIONS = 2
 # The load balancer checks readiness each second and takes a gateway out of rotation
 # after two failed checks in a row.
 BALANCER_INTERVAL_S = 1.0
@@ -243,6 +252,13 @@
         self.crashing_parts: frozenset[str] = frozenset()
         self._restarts: set[asyncio.Task[None]] = set()
         self._down: set[str] = set()
+        # Time and copy of the store, the oldest one first.
+        self._copies: deque[tuple[float, dict[str, Topic]]] = deque(
+            maxlen=round(MAX_COPY_AGE_S / COPY_INTERVAL_S) + 1
+        )
+        # State of each listed upstream.
+        self._entries: dict[str, tuple[PlatformUpstream, str]] = {}
+        self._n_reports = 0
         self.version = 0
         self.gateways: list[GatewayProcess] = []
         self._misses: dict[int, int] = {}
@@ -306,6 +322,31 @@
                 self._misses[gateway.number] = 0 if is_ready else misses + 1
             await asyncio.sleep(BALANCER_INTERVAL_S)
 
+    async def copy_store(self) -> None:
+        """Copy the store at intervals, until cancelled."""
+        while True:
+            self._copies.append((self.now_s(), self.store.copy()))
+            await asyncio.sleep(COPY_INTERVAL_S)
+
+    async def _restore_store(self, age_s: float, away_s: float) -> None:
+        """Let the store return from a copy, and write again what it has lost."""
+        copied = [copy for at_s, copy in self._copies if at_s <= self.now_s() - age_s]
+        copy = copied[-1] if copied else self._copies[0][1]
+        self.store.is_down = True
+        await asyncio.sleep(away_s)
+        self.store.restore(copy)
+        self.store.is_down = False
+        version = self.version
+        await asyncio.sleep(WRITTEN_AGAIN_S / 2)
+        if version == self.version:
+            self.store.put("keyed.op", "config", _make_configuration(version))
+        for name in self.store.newest("keyed.servers"):
+            if name not in self._entries:
+                self.store.put("keyed.servers", name, None)
+        await asyncio.sleep(WRITTEN_AGAIN_S / 2)
+        for upstream, state in list(self._entries.values()):
+            self._list(upstream, state)
+
     async def probe_versions(self) -> None:
         """Record the configuration versions of all gateways, until cancelled."""
         await asyncio.gather(
@@ -371,6 +412,9 @@
             case StoreFault(kind, for_s):
                 await self._apply_store_fault(kind, for_s)
                 self._record_disruption(None, start_s)
+            case StoreRestored(age_s, away_s):
+                await self._restore_store(age_s, away_s)
+                self._record_disruption(None, start_s)
             case UpstreamLink(number, link_fault, for_s):
                 upstream = self._upstreams[number]
                 await _apply_link_fault(
@@ -437,8 +481,7 @@
         self._down.discard(upstream.upstream_id)
         upstream.started_ms += 1
         if upstream in self._upstreams:
-            entry = self._entry(upstream, "ready")
-            self.store.put("keyed.servers", upstream.upstream_id, entry)
+            self._list(upstream, "ready")
 
     async def _name_limit(self, number: int, rate_per_s: float, for_s: float) -> None:
         upstream = self._upstreams[number]
@@ -499,13 +542,12 @@
         self._upstreams[number] = await self._add_upstream(upstream.service, False)
         self._replaced.append(upstream)
         name = upstream.upstream_id
-        entry = self._entry(upstream, "draining") if is_announced else None
-        self.store.put("keyed.servers", name, entry)
+        self._list(upstream, "draining" if is_announced else "gone")
         self.history.leaving[name] = self.now_s()
         await asyncio.sleep(
             soak_checks.LEAVING_BOUND_S + 2 * soak_checks.SCHEDULING_TOLERANCE_S
         )
-        self.store.put("keyed.servers", name, None)
+        self._list(upstream, "gone")
         # It keeps listening, to record requests that are still sent to it.
 
     async def _add_upstream(
@@ -517,22 +559,40 @@
             service,
             soak_checks.N_EVENTS,
             EVENT_INTERVAL_S,
+            f"v{self._n_upstreams % N_VERSIONS}" if service == "engines" else "v0",
         )
+        self.history.software[upstream.upstream_id] = upstream.software_version
         upstream.crashing_parts = self.crashing_parts
         upstream.on_crash = partial(self._crash, upstream)
         await upstream.http.start()
         link = FaultProxy(Address("127.0.0.1", upstream.http.port))
         await link.start()
         self._links[upstream.upstream_id] = link
-        entry = self._entry(upstream, "ready")
-        self.store.put("keyed.servers", upstream.upstream_id, entry)
+        self._list(upstream, "ready")
         if is_kept:
             self._upstreams.append(upstream)
         return upstream
 
-    def _entry(self, upstream: PlatformUpstream, state: str) -> dict[str, object]:
-        address = self._links[upstream.upstream_id].address
-        return {**upstream.store_entry(state), "address": str(address)}
+    def _list(self, upstream: PlatformUpstream, state: str) -> None:
+        """Write the entry of an upstream, or remove it if it is gone."""
+        name = upstream.upstream_id
+        if state == "gone":
+            self._entries.pop(name, None)
+            self.store.put("keyed.servers", name, None)
+            return
+        self._n_reports += 1
+        self._entries[name] = (upstream, state)
+        address = str(self._links[name].address)
+        entry = {**upstream.store_entry(state), "address": address}
+        self.store.put("keyed.servers", name, {**entry, "seq": self._n_reports})
+
+    def has_version(self, version: str) -> bool:
+        """Return whether an engine of a software version takes new requests."""
+        return any(
+            state == "ready" and upstream.software_version == version
+            for upstream, state in self._entries.values()
+            if upstream.service == "engines"
+        )
 
     def _record_disruption(
         self, gateway: int | None, start_s: float, is_planned: bool = False
