--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -28,6 +28,7 @@
     PlannedFault,
     Reconfigure,
     Stop,
+    StoreRestored,
     UpstreamTrouble,
     plan_soak,
 )
@@ -113,6 +114,30 @@
     )
 
 
+def make_taken_up_history(n_streams, status, run_at, **changes):
+    """Streams that began at version 1 are taken up and run at an upstream."""
+    recorded = []
+    for n in range(n_streams):
+        first, second = f"r{n}", f"t{n}"
+        body = b"id: 1\ndata: token 1\n\n"
+        headers = {"x-attempt-id": first, "x-response-seal": "seal.engine-1"}
+        recorded += [
+            make_request(
+                first, "resumes", answer=body, headers=headers, is_complete=False
+            ),
+            make_request(
+                second, "resumes", status=status, answer=b"", headers={},
+                is_complete=False, first_id=first, after_event=1, version_serves=True,
+            ),
+            make_run(
+                second, run_at, target=f"/resumes/{second}", service="engines",
+                headers={"x-tenant": "club", "last-event-id": "1"},
+            ),
+        ]  # fmt: skip
+    software = {"engine-1": "v1", "engine-2": "v2"}
+    return make_history(*recorded, software=software, **changes)
+
+
 # Pairs of a check and a history that violates this check and no other.
 VIOLATING_HISTORIES = [
     (
@@ -235,6 +260,8 @@
         "everything recovers",
         make_history(make_request(status=503, answer=b""), recovery_from_s=9.0),
     ),
+    ("streams are of one version", make_taken_up_history(3, 200, "engine-2")),
+    ("streams go on", make_taken_up_history(12, 503, "engine-1")),
 ]
 
 
@@ -245,6 +272,18 @@
     assert {name for name, _ in violations(recorded, ALL_CHECKS)} == {check}
 
 
+@pytest.mark.parametrize(
+    "recorded",
+    [
+        make_taken_up_history(2, 200, "engine-2"),
+        make_taken_up_history(20, 200, "engine-1"),
+        make_taken_up_history(11, 503, "engine-1"),
+    ],
+)
+def test_streams_that_are_taken_up_within_the_allowance_pass_all_checks(recorded):
+    assert violations(recorded, ALL_CHECKS) == []
+
+
 def test_a_history_without_violations_passes_all_checks():
     recorded = make_history(
         make_request(),
@@ -342,6 +381,12 @@
 from pomelothread.policy.crashing_parts import CrashingParts, Verdict
 CrashingParts.verdict = lambda self, *args, **options: Verdict.ALLOWED
 """
+IGNORES_VERSIONS = """
+from pomelothread.gateway.upstreams import UpstreamListing
+from pomelothread.policy.stream_versions import Software
+UpstreamListing.software = property(lambda self: Software(self.service, ""))
+"""
+BROKEN_STREAMS = [UpstreamTrouble(n, UpstreamFault.CUTS, 2.4) for n in range(3)]
 LIMITS = [NamesLimit((3, 4, 5), 0.5, 6.0)]
 LOST_RESPONSES = [
     UpstreamTrouble(n, UpstreamFault.LOSES_ANSWER, 2.0) for n in (3, 4, 5)
@@ -355,6 +400,7 @@
         (REPORTS_RUN_AS_NOT_RUN, LOST_RESPONSES, "refusals are true"),
         (IGNORES_QUOTAS, [], "quotas are kept"),
         (IGNORES_LIMITS, LIMITS, "limits are kept"),
+        (IGNORES_VERSIONS, BROKEN_STREAMS, "streams are of one version"),
         (STOPS_AT_ONCE, [Stop(0), Stop(1), Stop(2)], "planned stops cut nothing"),
     ],
     ids=[
@@ -362,6 +408,7 @@
         "reports run as not run",
         "ignores quotas",
         "ignores limits",
+        "ignores versions",
         "stops at once",
     ],
 )
@@ -393,6 +440,7 @@
         PlannedFault(1.4, Stop(1)),
         PlannedFault(1.5, NamesLimit((1, 3, 4), 1.9, 2.0)),
         PlannedFault(1.6, PeerCut(2, 0.5)),
+        PlannedFault(1.8, StoreRestored(0.9, 0.2)),
         PlannedFault(2.2, Pause(2, 0.3)),
         PlannedFault(2.6, Kill((0, 1, 2), 0.1)),
     ]
