Wait for every peer that is asked for a stream, not for as many answers

Cause: questions are repeated, as datagrams get lost, and a peer that answered twice counted for another one that had not answered yet. Change: a question holds the peers that have not been heard. Result: found when reading; the tests of versions pass as before.

--- a/src/pomelothread/gateway/stream_versions.py
+++ b/src/pomelothread/gateway/stream_versions.py
@@ -39,7 +39,7 @@
 class _Question:
     """A question to peers at which software a stream began."""
 
-    n_left: int
+    unheard: set[Address]
     is_ambiguous: bool = False
     software: Software | None = None
     answered: asyncio.Event = field(default_factory=asyncio.Event)
@@ -127,7 +127,7 @@
     async def _ask(self, stream_id: str, services: Sequence[str]) -> _Question:
         hosts = self._hosts()
         asked = keepers(stream_id, hosts, N_ASKED)
-        question = _Question(n_left=len(asked))
+        question = _Question({hosts[host] for host in asked})
         if not asked or len(stream_id) > MAX_ID_CHARS:
             return question
         self._questions[stream_id].append(question)
@@ -164,17 +164,12 @@
                 self.send(StreamReply(stream_id, software, n_versions), sender)
             case StreamReply(stream_id, software, n_versions):
                 for question in self._questions.get(stream_id, ()):
-                    self._answer(question, software, n_versions)
-
-    def _answer(
-        self, question: _Question, software: tuple[str, str] | None, n_versions: int
-    ) -> None:
-        question.n_left -= 1
-        question.is_ambiguous |= n_versions > 1
-        if software is not None:
-            question.software = Software(*software)
-        if software is not None or question.n_left <= 0:
-            question.answered.set()
+                    question.unheard.discard(sender)
+                    question.is_ambiguous |= n_versions > 1
+                    if software is not None:
+                        question.software = Software(*software)
+                    if software is not None or not question.unheard:
+                        question.answered.set()
 
     def _hosts(self) -> dict[str, Address]:
         return {peer.address.host: peer.address for peer in self._peers.alive()}
