Take no quota note for the last one after a return that the process saw

Change: a process that has seen the epoch rise before it reads the notes lets its limits grow from nothing for one window.

--- a/src/pomelothread/gateway/quota_notes.py
+++ b/src/pomelothread/gateway/quota_notes.py
@@ -128,7 +128,12 @@
                 notes[record.key] = note
         now_s, unix_ms = self._clock.monotonic_s(), _unix_ms(self._clock.now())
         is_known = self._quotas.restore(
-            notes, self._instance, now_s, unix_ms, self._store_epoch.current or 0
+            notes,
+            self._instance,
+            now_s,
+            unix_ms,
+            self._store_epoch.current or 0,
+            may_lack_notes=self._store_epoch.has_risen,
         )
         log_event(_log, Event.QUOTAS_RESTORED, n_notes=len(notes), is_known=is_known)
 
--- a/src/pomelothread/gateway/store_epoch.py
+++ b/src/pomelothread/gateway/store_epoch.py
@@ -19,6 +19,8 @@
     ----------
     current : int or None
         None until one is known. It never falls.
+    has_risen : bool
+        Whether the store has returned from a copy while this process ran.
 
     Examples
     --------
@@ -29,10 +31,11 @@
     3
     """
 
-    __slots__ = ("_on_rise", "current")
+    __slots__ = ("_on_rise", "current", "has_risen")
 
     def __init__(self) -> None:
         self.current: int | None = None
+        self.has_risen = False
         self._on_rise: list[Callable[[], None]] = []
 
     def on_rise(self, callback: Callable[[], None]) -> None:
@@ -59,6 +62,7 @@
         self.current = epoch
         if before is None:
             return
+        self.has_risen = True
         log_event(
             _log,
             Event.STORE_RESTORED,
--- a/src/pomelothread/policy/quotas.py
+++ b/src/pomelothread/policy/quotas.py
@@ -431,6 +431,8 @@
         now_s: float,
         unix_ms: int,
         epoch: int = 0,
+        *,
+        may_lack_notes: bool = False,
     ) -> bool:
         """Count what the notes of all instances say was admitted before the start.
 
@@ -447,6 +449,8 @@
             Unix time in milliseconds.
         epoch : int
             Epoch of the store.
+        may_lack_notes : bool
+            Whether the store has just returned from an older copy.
 
         Returns
         -------
@@ -456,7 +460,6 @@
             admissions are unknown; the limits then grow from 0.
         """
         ages_s = []
-        may_lack_notes = False
         for noted_by, note in notes.items():
             age_by_clock_s = (unix_ms - note.written_ms) * 0.001
             ages_s.append(age_by_clock_s)
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -22,6 +22,7 @@
 )
 from pomelothread.gateway.listings import ListingSync
 from pomelothread.gateway.part_crashes import PartCrashReporter
+from pomelothread.gateway.quota_notes import QuotaNotes
 from pomelothread.gateway.store_epoch import StoreEpoch
 from pomelothread.gateway.upstreams import UpstreamTable
 from pomelothread.http1.client import ConnectionPool
@@ -448,3 +449,35 @@
         for n, (epoch, age_s) in enumerate(notes)
     }
     assert tracker.restore(stored, "gateway-9", 1000.0, 10**9, epoch=2) is is_known
+
+
+async def test_notes_read_after_a_return_that_the_process_saw_may_lack_the_last_ones():
+    store_epoch = StoreEpoch()
+    store_epoch.observe(1, "an answer")
+    tracker = QuotaTracker(QuotaTolerance(8.0, 0.0, 0.0), started_s=0.0)
+
+    class Feed:
+        async def read_newest(self):
+            store_epoch.observe(2, "an answer")
+            return Success(Records((), 0, 2))
+
+    notes = QuotaNotes(
+        "gateway-1",
+        tracker,
+        Feed(),
+        None,
+        8.0,
+        ManualClock(datetime(2026, 3, 1, tzinfo=UTC)),
+        store_epoch,
+        random.Random(1),
+    )
+    ready, restored = asyncio.Event(), asyncio.Event()
+    ready.set()
+    writing = asyncio.ensure_future(notes.run(ready, restored))
+    await restored.wait()
+    writing.cancel()
+    tracker.set_quota("club", 100.0, 0.0)
+    # Limits grow from nothing, as what was admitted before is not known.
+    assert not tracker.try_take("club", 400.0, now_s=1.0)
+    assert tracker.restore({}, "gateway-1", 0.0, 0, 2)
+    assert tracker.try_take("club", 400.0, now_s=1.0)
