--- a/src/pomelothread/gateway/feeds.py
+++ b/src/pomelothread/gateway/feeds.py
@@ -304,14 +304,7 @@
         try:
             self._apply_all(records)
         except Exception as error:
-            log_event(
-                _log,
-                Event.FEED_RECORD_FAILED,
-                exc_info=error,
-                feed=self._name,
-                key="",
-                detail=repr(error),
-            )
+            self._log_failed_record("", error)
             for record in records:
                 self._apply_one(record)
 
@@ -320,14 +313,17 @@
             self._apply(record)
         except Exception as error:
             # A record that cannot be applied must not block those after it.
-            log_event(
-                _log,
-                Event.FEED_RECORD_FAILED,
-                exc_info=error,
-                feed=self._name,
-                key=record.key,
-                detail=repr(error),
-            )
+            self._log_failed_record(record.key, error)
+
+    def _log_failed_record(self, key: str, error: Exception) -> None:
+        log_event(
+            _log,
+            Event.FEED_RECORD_FAILED,
+            exc_info=error,
+            feed=self._name,
+            key=key,
+            detail=repr(error),
+        )
 
     def _end_outage(self) -> None:
         """Record that the store answers, which ends an outage if there was one."""
