--- a/src/pomelothread/gateway/attempt.py
+++ b/src/pomelothread/gateway/attempt.py
@@ -100,11 +100,11 @@
     try_spend_retry : callable
         Takes a retry from the retry budget; False if the request has to stay on
         this upstream.
-    record_began : callable
-        Called with the id of a stream and the software at which it begins or goes on.
     observe_sound : callable
         Called with the monotonic time at which the response began, once the upstream
         has shown that it does not crash for that reason.
+    record_began : callable
+        Called with the id of a stream and the software at which it begins or goes on.
 
     Attributes
     ----------
--- a/src/pomelothread/gateway/dialect.py
+++ b/src/pomelothread/gateway/dialect.py
@@ -35,12 +35,12 @@
         Whether token counts are stated.
     last_event_id : int or None
         Id of the last event of the stream that the caller has received.
-    first_attempt_id : str
-        Id of the request that brought the first event of the stream that the caller
-        takes up; "" if it names none or several.
     shared_parts : tuple of str
         Ids of the parts of the prompt that other requests may share, in order; the
         last part of a prompt is the request's own and is not among them.
+    first_attempt_id : str
+        Id of the request that brought the first event of the stream that the caller
+        takes up; "" if it names none or several.
     """
 
     request_id: bytes | None
