Write a lost quota note at the first check after the return of the store

The time at which a note is due was drawn at one check and compared at the next. Change: a note that is due before the next check is written now.

--- a/src/pomelothread/gateway/quota_notes.py
+++ b/src/pomelothread/gateway/quota_notes.py
@@ -102,7 +102,8 @@
         if self._lost_due_s is None:
             n_gateways = self._quotas.n_instances
             self._lost_due_s = now_s + self._random.random() * n_gateways / NOTES_PER_S
-        return now_s >= self._lost_due_s
+        # The next check comes an interval later.
+        return now_s + NOTE_CHECK_INTERVAL_S > self._lost_due_s
 
     async def _restore(
         self, configuration_received: asyncio.Event, startup_complete: asyncio.Event
