--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,173 +1,142 @@
-"""A part that crashes servers, in prompts on one document after the other."""
+"""Streams that clients take up after all gateways were killed."""
 
 import asyncio
-import itertools
 from pathlib import Path
 
-from harness import Deployment, Record, Server, ask, has_trouble, route, run_case
+from harness import Deployment, Record, ask, has_trouble, route, run_case
 
-N_SERVERS = 5
-DOWN_S = 3.0
-N_DOCUMENTS = 16
-QUESTIONS_OF_DOCUMENT = 2
-STABLE_WINDOW_S = 4.0
-FIRST_CRASHES = 5
-# Allowed by the rule BUDGET.
-MAX_REQUESTS = 3
+N_STREAMS = 6
+N_EVENTS = 24
+PAUSE_S = 0.28
+DEADLINE_S = 12.0
+MAX_TRIES = 5
+# Allowed by the rule ORDER.
+MAX_MIXED_STREAMS = 2
 KEY = "i9n73hh2b9wu3fexd9dn"
-# First parts of prompts: the deadly one, and a sound one.
-DEADLY_PART = "dead01"
-SOUND_PART = "5afe01"
-
-
-class Pool:
-    """Servers that crash as they begin to write an answer on the deadly part.
-
-    Parameters
-    ----------
-    record : Record
-        Record of the case.
-    """
-
-    def __init__(self, record: Record) -> None:
-        self._record = record
-        self._numbers = itertools.count(N_SERVERS)
-        self.crash_times_s: list[float] = []
-        self._restarts: list[asyncio.Task[None]] = []
-
-    async def work(self, server: Server, call) -> None:
-        """Run one request."""
-        is_deadly = call.headers["x-prompt-prefix"].startswith(DEADLY_PART)
-        if has_trouble and is_deadly:
-            await asyncio.sleep(0.05)
-            self.crash_times_s.append(self._record.now_s())
-            self._restarts.append(asyncio.ensure_future(self._restart(server)))
-            server.crash_now()
-            return
-        await server.send_stream(call, 20, 0.02)
-
-    async def _restart(self, server: Server) -> None:
-        await asyncio.sleep(DOWN_S)
-        await server.begin(f"i-{next(self._numbers)}")
-
-    async def end(self) -> None:
-        """Start no server again."""
-        for task in self._restarts:
-            task.cancel()
-        await asyncio.gather(*self._restarts, return_exceptions=True)
 
 
 class Client:
-    """Sends requests about documents, and counts the answers.
+    """A client that takes its stream up after a broken connection.
 
     Parameters
     ----------
+    name : str
+        Prefix of the ids of its attempts.
     deployment : Deployment
         Where it calls.
     """
 
-    def __init__(self, deployment: Deployment) -> None:
+    def __init__(self, name: str, deployment: Deployment) -> None:
+        self.name = name
         self._deployment = deployment
-        self._numbers = itertools.count()
-        # Time and status of each sound request on a document of a deadly one.
-        self.sound: list[tuple[float, int]] = []
-
-    async def send(self, name: str, first_part: str, document: str) -> int:
-        """Send one request, no two of which are alike; return the status."""
-        number = next(self._numbers)
-        gateways = self._deployment.gateways
-        gateway = gateways[number % len(gateways)]
-        request_id = f"{name}-{number}"
-        parts = f"{first_part}:60,{document}:900,{0xABC000 + number:x}:50"
+        self.events: list[tuple[int, str]] = []
+
+    @property
+    def versions(self) -> set[str]:
+        """Software versions of the servers whose events it has got."""
+        return {text.split()[0] for _, text in self.events}
+
+    async def run(self, first_gateway: int) -> None:
+        """Ask for one stream, and take it up until it is complete."""
         record = self._deployment.record
-        record.add(f"client sends {request_id} to {gateway.ip}, prompt {parts}")
-        answer = await ask(
-            gateway.address,
-            "/cleft-report/1",
-            request_id=request_id,
-            key=KEY,
-            body=b'{"question": %d}' % number,
-            tokens="1010,120",
-            deadline_ms=10000,
-            headers=[("X-Model", "m"), ("X-Prompt-Prefix", parts)],
-        )
-        whole = "whole" if answer.is_complete else "cut"
-        record.add(f"client gets for {request_id}: status {answer.status}, {whole}")
-        return answer.status
-
-    async def send_background(self) -> None:
-        """Send sound requests on other documents."""
-        for number in itertools.count():
-            await self.send("other", SOUND_PART, f"b{number % 10:03x}")
-            await asyncio.sleep(0.15)
-
-    async def work_through(self) -> None:
-        """Ask about one document after the other, with the deadly part."""
-        for number in range(N_DOCUMENTS):
-            document = f"d{number:03x}"
-            for _ in range(QUESTIONS_OF_DOCUMENT):
-                await self.send("deadly", DEADLY_PART, document)
-                await asyncio.sleep(1.5)
-            for _ in range(2):
-                at_s = self._deployment.record.now_s()
-                status = await self.send("sound", SOUND_PART, document)
-                self.sound.append((at_s, status))
+        first_id = ""
+        until_s = record.now_s() + DEADLINE_S
+        for number in range(MAX_TRIES):
+            request_id = f"{self.name}-{number}"
+            headers = [("X-Model", "m"), ("X-Prompt-Prefix", "5c1e:60,9f3a:700")]
+            if self.events:
+                headers.append(("Last-Event-Id", str(self.events[-1][0])))
+                headers.append(("Resumes", first_id))
+            gateways = self._deployment.gateways
+            gateway = gateways[(first_gateway + number) % len(gateways)]
+            left_s = until_s - record.now_s()
+            record.add(f"client sends {request_id} to {gateway.ip}: {headers[2:]}")
+            answer = await ask(
+                gateway.address,
+                "/blade-spec/1",
+                request_id=request_id,
+                key=KEY,
+                tokens="760,120",
+                deadline_ms=int(left_s * 1000),
+                headers=headers,
+            )
+            events = _parse(answer.body) if answer.status == 200 else []
+            if events and not self.events:
+                first_id = request_id
+            self.events += events
+            record.add(
+                f"client gets for {request_id}: status {answer.status}, "
+                f"events {events}, {'whole' if answer.is_complete else 'cut'}"
+            )
+            if answer.status == 200 and answer.is_complete:
+                return
+            left_s = until_s - record.now_s()
+            wait_s = float(answer.headers.get("retry-after", "0.5"))
+            await asyncio.sleep(min(max(wait_s, 0.5), left_s / 3))
+
+
+def _parse(body: bytes) -> list[tuple[int, str]]:
+    """Return number and text of each whole event."""
+    events = []
+    for block in body.split(b"\n\n")[:-1]:
+        lines = block.decode().splitlines()
+        events.append((int(lines[0].removeprefix("id: ")), lines[1][len("data: ") :]))
+    return events
 
 
 async def _case(record: Record) -> bool:
     async with Deployment(record, n_gateways=2) as deployment:
-        pool = Pool(record)
-        for number in range(N_SERVERS):
-            await deployment.add_server(f"i-{number}", "pomelo-pool", pool.work)
+        old = await deployment.add_server(
+            "i-old", "pomelo-pool", _stream, slots=12, version="v1"
+        )
         deployment.put_configuration(
             1,
             [
                 route(
-                    "cleft-report",
+                    "blade-spec",
                     "streaming",
                     "pomelo-pool",
-                    0,
-                    timeout_ms=10000,
-                    target_latency_ms=800,
+                    1,
+                    resumable=True,
+                    timeout_ms=12000,
+                    target_latency_ms=600,
                     gap_aim_ms=300,
-                    max_attempts=1,
                 )
             ],
             [{"name": "hule930", "api_keys": [KEY]}],
         )
         await deployment.start_gateways()
-        await asyncio.sleep(5.0)
-        client = Client(deployment)
-        background = asyncio.ensure_future(client.send_background())
-        await asyncio.sleep(2.0)
-        try:
-            await client.work_through()
-        finally:
-            background.cancel()
-            await asyncio.gather(background, return_exceptions=True)
-            await pool.end()
-        return _is_broken(deployment, pool, client)
-
-
-def _is_broken(deployment: Deployment, pool: Pool, client: Client) -> bool:
-    record = deployment.record
-    record.add(f"the deadly part has crashed servers {len(pool.crash_times_s)} times")
-    if len(pool.crash_times_s) < FIRST_CRASHES:
-        return False
-    from_s = pool.crash_times_s[FIRST_CRASHES - 1] + STABLE_WINDOW_S
-    late = [
-        arrival
-        for arrival in deployment.arrivals
-        if arrival.request_id.startswith("deadly-") and arrival.at_s > from_s
-    ]
-    statuses = [status for at_s, status in client.sound if at_s > from_s]
-    record.add(
-        f"later than {from_s:.3f} s, which is {STABLE_WINDOW_S} s after the fifth "
-        f"crash, {len(late)} requests with the part have reached servers; of "
-        f"{len(statuses)} sound requests on its documents, {statuses.count(200)} "
-        "were served"
-    )
-    return len(late) > MAX_REQUESTS
+        await asyncio.sleep(3.0)
+        clients = [Client(f"stream{n}", deployment) for n in range(N_STREAMS)]
+        running = [asyncio.ensure_future(c.run(n)) for n, c in enumerate(clients)]
+        # A release: the new server starts first, then the old one leaves. It is one
+        # of those that do not report `draining`: its entry is removed, and it serves
+        # on for longer than `drain_ms`.
+        await asyncio.sleep(0.5)
+        await deployment.add_server(
+            "i-new", "pomelo-pool", _stream, slots=12, version="v2"
+        )
+        await asyncio.sleep(1.5)
+        old.is_leaving = True
+        old.remove_entry()
+        await asyncio.sleep(1.0)
+        if has_trouble:
+            record.add("all gateways are killed")
+            for gateway in deployment.gateways:
+                await gateway.kill()
+            await asyncio.sleep(0.5)
+            for gateway in deployment.gateways:
+                gateway.start()
+            record.add("all gateways are started again")
+        await asyncio.gather(*running)
+        mixed = [client for client in clients if len(client.versions) > 1]
+        for client in clients:
+            record.add(f"{client.name} holds events of {sorted(client.versions)}")
+        return len(mixed) > MAX_MIXED_STREAMS
+
+
+async def _stream(server, call) -> None:
+    await server.send_stream(call, N_EVENTS, PAUSE_S)
 
 
 if __name__ == "__main__":
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,134 +1,149 @@
-"""A lookup that many callers repeat, while servers crash one after the other."""
+"""A request that crashes each server, while the servers start again under their id."""
 
 import asyncio
-import itertools
+import os
 from pathlib import Path
 
 from harness import Deployment, Record, Server, ask, has_trouble, route, run_case
 
-N_SERVERS = 3
-N_CRASHES = 5
+N_SERVERS = 2
 DOWN_S = 2.0
-CRASH_EVERY_S = 6.0
+SEND_FOR_S = 45.0
+PAUSE_S = 1.0
 STABLE_WINDOW_S = 4.0
-STEADY_S = 12.0
-MIN_REQUESTS = 20
-WORK_S = 0.09
+# Allowed by the rule BUDGET.
+MAX_RETRIES = 3
 KEY = "i9n73hh2b9wu3fexd9dn"
-LOOKUP = "/stock-check/bat-7"
+DEADLY_BODY = b'{"prompt": "deadly"}'
+SOUND_BODY = b'{"prompt": "sound"}'
+# A check of the script itself: with 1, each start of a server has a new id.
+has_new_ids = os.environ.get("NEW_IDS", "0") == "1"
 
 
-class Clients:
-    """Callers that send requests without a pause longer than `PAUSE_S`.
+class Pool:
+    """Servers that crash as they begin to run the deadly request.
 
     Parameters
     ----------
     deployment : Deployment
-        Where they call.
+        Where they run.
     """
 
     def __init__(self, deployment: Deployment) -> None:
         self._deployment = deployment
-        self._numbers = itertools.count()
-        # Time of sending and status, by name of the route.
-        self.answers: dict[str, list[tuple[float, int]]] = {}
-
-    async def send_all(self, name: str, method: str, target: str) -> None:
-        """Send one request after the other."""
-        while True:
-            number = next(self._numbers)
-            gateways = self._deployment.gateways
-            gateway = gateways[number % len(gateways)]
-            request_id = f"{name}-{number}"
-            record = self._deployment.record
-            sent_s = record.now_s()
-            answer = await ask(
-                gateway.address,
-                target,
-                method=method,
-                body=b"" if method == "GET" else b'{"order": %d}' % number,
-                request_id=request_id,
-                key=KEY,
-                deadline_ms=6000,
-            )
-            record.add(
-                f"client gets for {request_id} ({method} {target}, sent {sent_s:.3f}): "
-                f"status {answer.status}"
-            )
-            self.answers.setdefault(name, []).append((sent_s, answer.status))
-            await asyncio.sleep(0.1)
-
-    def served_share(self, name: str, from_s: float, until_s: float) -> float:
-        """Return the share of a route's requests of some time that were served."""
-        statuses = [
-            status
-            for sent_s, status in self.answers.get(name, [])
-            if from_s <= sent_s < until_s
-        ]
-        n_served = statuses.count(200)
-        self._deployment.record.add(
-            f"from {from_s:.3f} to {until_s:.3f} s, {n_served} of {len(statuses)} "
-            f"requests on {name} were served"
-        )
-        if len(statuses) < MIN_REQUESTS:
-            raise RuntimeError(f"only {len(statuses)} requests on {name}")
-        return n_served / len(statuses)
+        self.crash_times_s: list[float] = []
+        self._restarts: list[asyncio.Task[None]] = []
+
+    async def work(self, server: Server, call) -> None:
+        """Run one request."""
+        if has_trouble and call.body == DEADLY_BODY:
+            self.crash_times_s.append(self._deployment.record.now_s())
+            self._restarts.append(asyncio.ensure_future(self._restart(server)))
+            server.crash_now()
+            return
+        await server.send_stream(call, 10, 0.02)
 
+    async def _restart(self, server: Server) -> None:
+        await asyncio.sleep(DOWN_S)
+        await server.begin(f"{server.name}x" if has_new_ids else None)
 
-async def _work(server: Server, call) -> None:
-    await asyncio.sleep(WORK_S)
-    await call.respond(200, b"done", server.answer_headers(call))
+    async def end(self) -> None:
+        """Start no server again."""
+        for task in self._restarts:
+            task.cancel()
+        await asyncio.gather(*self._restarts, return_exceptions=True)
 
 
 async def _case(record: Record) -> bool:
     async with Deployment(record, n_gateways=2) as deployment:
+        pool = Pool(deployment)
         for number in range(N_SERVERS):
-            await deployment.add_server(
-                f"i-{number}", "yard-ledger", _work, slots=6, queue=24
-            )
-        times = {"timeout_ms": 3000, "target_latency_ms": 400}
-        orders = route(
-            "order-place", "non_idempotent", "yard-ledger", 2, max_attempts=1, **times
+            await deployment.add_server(f"i-{number}", "pomelo-pool", pool.work)
+        deployment.put_configuration(
+            1,
+            [
+                route(
+                    "cleft-report",
+                    "streaming",
+                    "pomelo-pool",
+                    0,
+                    timeout_ms=10000,
+                    target_latency_ms=800,
+                    gap_aim_ms=300,
+                    max_attempts=1,
+                )
+            ],
+            [{"name": "hule930", "api_keys": [KEY]}],
         )
-        lookups = route("stock-check", "idempotent", "yard-ledger", 2, **times)
-        tenants: list[dict[str, object]] = [{"name": "hule930", "api_keys": [KEY]}]
-        deployment.put_configuration(1, [orders], tenants)
         await deployment.start_gateways()
-        await asyncio.sleep(4.0)
-        deployment.put_configuration(2, [orders, lookups], tenants)
-        await asyncio.sleep(4.0)
-        clients = Clients(deployment)
-        tasks = [
-            asyncio.ensure_future(clients.send_all("stock-check", "GET", LOOKUP))
-            for _ in range(16)
-        ] + [
-            asyncio.ensure_future(
-                clients.send_all("order-place", "POST", "/order-place/1")
-            )
-            for _ in range(3)
-        ]
-        await asyncio.sleep(2.0)
-        before_s = record.now_s() - 2.0
-        for number in range(N_CRASHES):
-            server = deployment.servers[number % N_SERVERS]
-            if has_trouble:
-                server.crash_now()
-            await asyncio.sleep(DOWN_S)
-            if has_trouble:
-                await server.begin(f"i-{N_SERVERS + number}")
-            await asyncio.sleep(CRASH_EVERY_S - DOWN_S)
-        await asyncio.sleep(STABLE_WINDOW_S)
-        steady_from_s = record.now_s()
-        await asyncio.sleep(STEADY_S)
-        until_s = record.now_s()
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-        for name in ("stock-check", "order-place"):
-            clients.served_share(name, before_s, before_s + 2.0)
-        added = clients.served_share("stock-check", steady_from_s, until_s)
-        first = clients.served_share("order-place", steady_from_s, until_s)
-        return added < first / 4
+        await asyncio.sleep(5.0)
+        sound = asyncio.ensure_future(_send_sound(deployment))
+        try:
+            await _send_deadly(deployment)
+        finally:
+            sound.cancel()
+            await asyncio.gather(sound, return_exceptions=True)
+            await pool.end()
+        return _is_broken(deployment, pool)
+
+
+async def _send_deadly(deployment: Deployment) -> None:
+    """Send the same request again and again, to one gateway after the other."""
+    record = deployment.record
+    until_s = record.now_s() + SEND_FOR_S
+    number = 0
+    while record.now_s() < until_s:
+        gateway = deployment.gateways[number % len(deployment.gateways)]
+        await _send(deployment, gateway, f"deadly-{number}", DEADLY_BODY)
+        number += 1
+        await asyncio.sleep(PAUSE_S)
+
+
+async def _send_sound(deployment: Deployment) -> None:
+    number = 0
+    while True:
+        gateway = deployment.gateways[number % len(deployment.gateways)]
+        await _send(deployment, gateway, f"sound-{number}", SOUND_BODY)
+        number += 1
+        await asyncio.sleep(0.2)
+
+
+async def _send(deployment: Deployment, gateway, request_id: str, body: bytes) -> None:
+    deployment.record.add(f"client sends {request_id} to {gateway.ip}")
+    answer = await ask(
+        gateway.address,
+        "/cleft-report/1",
+        request_id=request_id,
+        key=KEY,
+        body=body,
+        tokens="3780,120",
+        deadline_ms=10000,
+        headers=[("X-Model", "m"), ("X-Prompt-Prefix", f"{len(body):x}:3780")],
+    )
+    whole = "whole" if answer.is_complete else "cut"
+    deployment.record.add(
+        f"client gets for {request_id}: status {answer.status}, {whole}"
+    )
+
+
+def _is_broken(deployment: Deployment, pool: Pool) -> bool:
+    record = deployment.record
+    record.add(
+        f"the deadly request has crashed servers {len(pool.crash_times_s)} times"
+    )
+    if len(pool.crash_times_s) < 3:
+        return False
+    from_s = pool.crash_times_s[2] + STABLE_WINDOW_S
+    retries = [
+        arrival
+        for arrival in deployment.arrivals
+        if arrival.request_id.startswith("deadly-") and arrival.at_s > from_s
+    ]
+    record.add(
+        f"{len(retries)} retries have reached servers later than {from_s:.3f} s, "
+        f"which is {STABLE_WINDOW_S} s after the third crash"
+    )
+    return len(retries) > MAX_RETRIES
 
 
 if __name__ == "__main__":
