--- a/review/2/case.py
+++ b/review/2/case.py
@@ -5,7 +5,7 @@
 
 from harness import Deployment, Record, ask, has_trouble, route, run_case
 
-N_STREAMS = 6
+N_STREAMS = 18
 N_EVENTS = 24
 PAUSE_S = 0.28
 DEADLINE_S = 12.0
@@ -86,9 +86,9 @@
 
 async def _case(record: Record) -> bool:
     async with Deployment(record, n_gateways=2) as deployment:
-        old = await deployment.add_server(
-            "i-old", "pomelo-pool", _stream, slots=12, version="v1"
-        )
+        old = await deployment.add_server("i-old", "pomelo-pool", _stream, version="v1")
+        for name in ("i-a", "i-b"):
+            await deployment.add_server(name, "pomelo-pool", _stream, version="v2")
         deployment.put_configuration(
             1,
             [
@@ -113,9 +113,7 @@
         # of those that do not report `draining`: its entry is removed, and it serves
         # on for longer than `drain_ms`.
         await asyncio.sleep(0.5)
-        await deployment.add_server(
-            "i-new", "pomelo-pool", _stream, slots=12, version="v2"
-        )
+        await deployment.add_server("i-new", "pomelo-pool", _stream, version="v2")
         await asyncio.sleep(1.5)
         old.is_leaving = True
         old.remove_entry()
