--- a/review/3/case.py
+++ b/review/3/case.py
@@ -7,8 +7,9 @@
 from harness import Deployment, Record, Server, ask, has_trouble, route, run_case
 
 N_SERVERS = 5
+N_OTHERS = 7
 DOWN_S = 3.0
-N_DOCUMENTS = 16
+N_DOCUMENTS = 7
 QUESTIONS_OF_DOCUMENT = 2
 STABLE_WINDOW_S = 4.0
 FIRST_CRASHES = 5
@@ -44,7 +45,7 @@
             self._restarts.append(asyncio.ensure_future(self._restart(server)))
             server.crash_now()
             return
-        await server.send_stream(call, 20, 0.02)
+        await server.send_stream(call, 6, 0.02)
 
     async def _restart(self, server: Server) -> None:
         await asyncio.sleep(DOWN_S)
@@ -99,7 +100,7 @@
         """Send sound requests on other documents."""
         for number in itertools.count():
             await self.send("other", SOUND_PART, f"b{number % 10:03x}")
-            await asyncio.sleep(0.15)
+            await asyncio.sleep(0.25)
 
     async def work_through(self) -> None:
         """Ask about one document after the other, with the deadly part."""
@@ -138,13 +139,16 @@
         await deployment.start_gateways()
         await asyncio.sleep(5.0)
         client = Client(deployment)
-        background = asyncio.ensure_future(client.send_background())
+        background = [
+            asyncio.ensure_future(client.send_background()) for _ in range(N_OTHERS)
+        ]
         await asyncio.sleep(2.0)
         try:
             await client.work_through()
         finally:
-            background.cancel()
-            await asyncio.gather(background, return_exceptions=True)
+            for task in background:
+                task.cancel()
+            await asyncio.gather(*background, return_exceptions=True)
             await pool.end()
         return _is_broken(deployment, pool, client)
 
