--- a/review/5/case.py
+++ b/review/5/case.py
@@ -66,6 +66,7 @@
         # The limits of a gateway grow in its first window.
         await asyncio.sleep(WINDOW_S + 1.0)
         requests = []
+        sent_s: dict[str, float] = {}
         # The usual traffic of the shop leaves slots free; in the burst, with 1.75 times
         # as much of it, it does not.
         n_shop = 7 if has_trouble else 4
@@ -79,11 +80,12 @@
             await asyncio.sleep(started_s + at_s - record.now_s())
             for number in range(N_WAVE):
                 request_id = f"club-{wave}-{number}"
+                sent_s[request_id] = record.now_s()
                 requests.append(
                     _send(deployment, request_id, "counter-chat", CLUB_KEY, TOKENS)
                 )
         await asyncio.gather(*requests)
-        return _is_broken(deployment)
+        return _is_broken(deployment, sent_s)
 
 
 def _send(
@@ -109,16 +111,18 @@
     record.add(f"client gets for {request_id}: status {answer.status}")
 
 
-def _is_broken(deployment: Deployment) -> bool:
-    ran_s = [
-        arrival.at_s
+def _is_broken(deployment: Deployment, sent_s: dict[str, float]) -> bool:
+    # Times at which the client sent a request and at which it arrived.
+    ran = [
+        (sent_s[arrival.request_id], arrival.at_s)
         for arrival in deployment.arrivals
         if arrival.request_id.startswith("club-") and arrival.has_run
     ]
     allowed = (RATE_PER_S * WINDOW_S + BURST) * (1 + OVER) + SLACK
     most, most_from_s = 0, 0.0
-    for from_s in ran_s:
-        tokens = TOKENS * sum(from_s <= at_s < from_s + WINDOW_S for at_s in ran_s)
+    for from_s, _ in ran:
+        until_s = from_s + WINDOW_S
+        tokens = TOKENS * sum(from_s <= sent and at_s < until_s for sent, at_s in ran)
         if tokens > most:
             most, most_from_s = tokens, from_s
     deployment.record.add(
