Keep in the store which software versions were listed within a minute

Cause: a process that has just started took the only version that is listed for the only one that has served; peers that have just started know no more. Evidence: with the old sources both cases of test_after_a_loss_of_all_gateways_a_version_that_has_left_is_still_known fail (200 at v2 for a stream of v1, instead of 503); the second one lists v2 only while no gateway runs, so no peer, late message or old list can have part in it.

Change: one record, written by the first three gateways when a version appears or was gone for a minute, read once at the start. A record that the store has brought back from a copy, that cannot be decoded, or that could not be read tells nothing: such streams are refused for a minute. A fleet of one version goes on as before (its own test).

--- a/src/pomelothread/events.py
+++ b/src/pomelothread/events.py
@@ -461,6 +461,22 @@
         "request %(request_id)s cannot go on with stream %(stream)s after event "
         "%(last_event_id)s: %(cause)s",
     )
+    VERSIONS_READ = (
+        868,
+        logging.INFO,
+        "software that was listed before the start: %(software)s; "
+        "complete: %(is_complete)s",
+    )
+    VERSIONS_STORED = (
+        869,
+        logging.INFO,
+        "software that was listed lately, as stored now: %(software)s",
+    )
+    VERSIONS_NOT_STORED = (
+        870,
+        logging.WARNING,
+        "cannot store which software was listed lately: %(software)s",
+    )
     GATEWAY_PEER_UP = (850, logging.INFO, "gateway %(peer)s at %(address)s is up")
     GATEWAY_PEER_SILENT = (
         851,
--- a/src/pomelothread/gateway/platform_link.py
+++ b/src/pomelothread/gateway/platform_link.py
@@ -38,6 +38,10 @@
         Records of the quota units that each gateway has admitted.
     append_quota_note : callable
         Appends a record to `quota_notes`.
+    software_versions : KeyedFeed
+        Record of the software versions that were listed lately.
+    append_software_versions : callable
+        Appends a record to `software_versions`.
     decode_configuration : callable
         Decodes a configuration.
     decode_listing : callable
@@ -56,6 +60,8 @@
     append_part_crash: Append
     quota_notes: KeyedFeed
     append_quota_note: Append
+    software_versions: KeyedFeed
+    append_software_versions: Append
     decode_configuration: Callable[[bytes], Result[Configuration, str]]
     decode_listing: Callable[[KeyedRecord], UpstreamListing | None]
     readiness_path: bytes
--- a/src/pomelothread/gateway/process.py
+++ b/src/pomelothread/gateway/process.py
@@ -26,6 +26,7 @@
 from ..policy.feed_sharing import FeedWatch, ReadingTimes
 from ..policy.quotas import QuotaTracker
 from ..policy.store_calls import call_times
+from ..policy.stream_versions import StreamVersions
 from .admission import Admission
 from .configuration import Configuration
 from .coordinator_choice import CoordinatorChoice
@@ -53,6 +54,7 @@
 from .supervision import keep_running, on_callback_error, stop_process
 from .upstream_results import UpstreamResults
 from .upstreams import Upstream, UpstreamTable
+from .version_history import VersionHistory
 
 _log = logging.getLogger(__name__)
 
@@ -147,7 +149,18 @@
             random_source,
         )
         self._peers = PeerTable(settings.peer_address, clock)
-        self._streams = StreamVersionExchange(self._upstreams, self._peers, clock)
+        versions = StreamVersions()
+        self._version_history = VersionHistory(
+            versions,
+            self._adapter.software_versions,
+            self._adapter.append_software_versions,
+            self._peers,
+            clock,
+            self._store_epoch,
+        )
+        self._streams = StreamVersionExchange(
+            self._upstreams, self._peers, versions, self._version_history, clock
+        )
         self._results = UpstreamResults(
             self._upstreams,
             self._pool,
@@ -309,6 +322,7 @@
         )
         for run in (
             run_quota_notes,
+            self._version_history.run,
             self._reporter.run,
             self._permits.run,
             self._housekeeping,
--- a/src/pomelothread/gateway/stream_versions.py
+++ b/src/pomelothread/gateway/stream_versions.py
@@ -24,6 +24,7 @@
 from .peer_messages import StreamNews, StreamQuery, StreamReply
 from .peers import PeerTable
 from .upstreams import UpstreamTable
+from .version_history import VersionHistory
 
 # Maximum number of streams in a message.
 MAX_STREAMS_OF_MESSAGE = 30
@@ -54,19 +55,29 @@
         The listed upstreams and their versions.
     peers : PeerTable
         The other gateways.
+    versions : StreamVersions
+        What this gateway knows of streams and versions.
+    history : VersionHistory
+        Knows which versions served before this gateway started.
     clock : Clock
         Source of time.
     """
 
     def __init__(
-        self, upstreams: UpstreamTable, peers: PeerTable, clock: Clock
+        self,
+        upstreams: UpstreamTable,
+        peers: PeerTable,
+        versions: StreamVersions,
+        history: VersionHistory,
+        clock: Clock,
     ) -> None:
         self._upstreams = upstreams
         self._peers = peers
         self._clock = clock
         self._started_s = clock.monotonic_s()
         self._questions: dict[str, list[_Question]] = defaultdict(list)
-        self.versions = StreamVersions()
+        self.versions = versions
+        self._history = history
         # Sends a message to a peer; set by the process.
         self.send: Send = lambda message, address: None
 
@@ -74,6 +85,7 @@
         """Record which versions are listed now."""
         listed = {upstream.listing.software for upstream in self._upstreams.all()}
         self.versions.observe_listed(listed, self._clock.monotonic_s())
+        self._history.observe_change()
 
     def record_began(self, stream_id: str, software: Software) -> None:
         """Record at which software a stream began or goes on."""
@@ -109,7 +121,7 @@
         -------
         Software or None
             None if it cannot be told. It is not guessed while several versions serve
-            or did lately.
+            or did lately, or while it is not known which ones did.
         """
         now_s = self._clock.monotonic_s()
         known = self.versions.began_at(stream_id, now_s)
@@ -122,7 +134,9 @@
         if question.software is not None:
             self.versions.merge(stream_id, question.software, now_s)
             return question.software
-        return None if question.is_ambiguous else sole
+        if question.is_ambiguous or not await self._history.is_past_known():
+            return None
+        return self.versions.sole_software(services)
 
     async def _ask(self, stream_id: str, services: Sequence[str]) -> _Question:
         hosts = self._hosts()
--- a/src/pomelothread/platform/link.py
+++ b/src/pomelothread/platform/link.py
@@ -15,6 +15,7 @@
     LISTING_TOPIC,
     PART_CRASH_TOPIC,
     QUOTA_TOPIC,
+    VERSION_TOPIC,
     StoreClient,
     TopicFeed,
 )
@@ -52,6 +53,8 @@
         append_part_crash=partial(store.append, PART_CRASH_TOPIC),
         quota_notes=TopicFeed(store, QUOTA_TOPIC),
         append_quota_note=partial(store.append, QUOTA_TOPIC),
+        software_versions=TopicFeed(store, VERSION_TOPIC),
+        append_software_versions=partial(store.append, VERSION_TOPIC),
         decode_configuration=decode_configuration,
         decode_listing=decode_listing,
         readiness_path=READINESS_PATH,
--- a/src/pomelothread/platform/store.py
+++ b/src/pomelothread/platform/store.py
@@ -27,6 +27,7 @@
 CRASH_TOPIC = "keyed.crashes"
 PART_CRASH_TOPIC = "keyed.part-crashes"
 QUOTA_TOPIC = "keyed.quotas"
+VERSION_TOPIC = "keyed.versions"
 
 # Rises each time the store returns from an older copy.
 _EPOCH = b"store-era"
--- a/src/pomelothread/policy/stream_versions.py
+++ b/src/pomelothread/policy/stream_versions.py
@@ -126,6 +126,20 @@
                 if now_s - at_s > STREAM_LIFE_S:
                     del seen_s[version]
 
+    def merge_past(self, listed: Iterable[Software], now_s: float) -> None:
+        """Record versions that were listed before, perhaps until now."""
+        for software in listed:
+            seen_s = self._seen_s.setdefault(software.service, {})
+            seen_s.setdefault(software.version, now_s)
+
+    def listed_lately(self) -> frozenset[Software]:
+        """Return all software that was listed within `STREAM_LIFE_S`."""
+        return frozenset(
+            Software(service, version)
+            for service, seen_s in self._seen_s.items()
+            for version in seen_s
+        )
+
     def n_versions(self, service: str) -> int:
         """Return how many versions of a service were listed lately."""
         return len(self._seen_s.get(service, ()))
