Refuse the part that several refused parts of prompts have in common

Cause: crashes that a refused part explains were dropped as evidence against all others, and parts further back are examined first. With a new part behind the cause after each two crashes, none was left for the cause.

Change: all crashes that one part explains count as one against a part that has these and others; the thresholds stay. A refusal is given up for a part that is examined earlier and has all its crashes, so that the order of arrival does not decide.

--- a/src/pomelothread/policy/crashing_parts.py
+++ b/src/pomelothread/policy/crashing_parts.py
@@ -8,7 +8,9 @@
 * A part is sound at the moment at which an upstream begins to respond to a prompt with
   it and does not crash. That ends the suspicion of earlier crashes.
 * Crashes that a refused part explains are no evidence against other parts. The last
-  parts of a prompt are examined first, since fewer requests share them.
+  parts of a prompt are examined first, since fewer requests share them. Only what is
+  common to several of them is the better explanation: prompts may go on differently
+  after the cause.
 * Crashes of several upstreams at about the same time count once: a request that was
   sent before the previous crash may only have been present at a common cause.
 
@@ -393,27 +395,87 @@
 
     def _reconsider(self, now_s: float) -> None:
         """Decide which parts are refused, after the evidence has changed."""
+        suspects_of = self._suspects_by_start()
         self._refused_from_s = {
             part: since_s
             for part, since_s in self._refused_from_s.items()
             if self._is_enough(part, self._crashes.get(part, {}).values())
+            and not self._is_explained_by_earlier(part, suspects_of)
         }
         explained = {
             start for part in self._refused_from_s for start in self._crashes[part]
         }
         for part in sorted(self._crashes, key=self._examination_key):
+            if part in self._refused_from_s:
+                continue
             unexplained = [
                 crash
                 for start, crash in self._crashes[part].items()
                 if start not in explained
             ]
-            if part not in self._refused_from_s and self._is_enough(part, unexplained):
+            if self._is_enough(part, unexplained) or self._is_common_to_branches(
+                part, suspects_of
+            ):
                 self._refused_from_s[part] = now_s
                 explained |= self._crashes[part].keys()
         for part in list(self._refused_from_s):
             if self._is_explained_by_another(part):
                 del self._refused_from_s[part]
 
+    def _suspects_by_start(self) -> dict[UpstreamStart, list[str]]:
+        """Return the parts with enough evidence of their own, by their crashes."""
+        suspects: dict[UpstreamStart, list[str]] = {}
+        for part, crashes in self._crashes.items():
+            if self._is_enough(part, crashes.values()):
+                for start in crashes:
+                    suspects.setdefault(start, []).append(part)
+        return suspects
+
+    def _is_explained_by_earlier(
+        self, part: str, suspects_of: dict[UpstreamStart, list[str]]
+    ) -> bool:
+        """Return whether a part that is examined earlier has all its crashes.
+
+        The evidence against that part may have arrived later.
+        """
+        crashes = self._crashes[part]
+        common = set.intersection(*(set(suspects_of[start]) for start in crashes))
+        key = self._examination_key(part)
+        return any(self._examination_key(other) < key for other in common)
+
+    def _is_common_to_branches(
+        self, part: str, suspects_of: dict[UpstreamStart, list[str]]
+    ) -> bool:
+        """Return whether a part explains more than several other parts each do.
+
+        Prompts may go on differently after the cause. Then each of the parts that
+        follow has crashes enough to be refused, and none is left as evidence against
+        the cause. All crashes with one of these parts count as one.
+        """
+        crashes = self._crashes[part]
+        starts = crashes.keys()
+        explained: set[UpstreamStart] = set()
+        for other in self._refused_from_s:
+            if not self._crashes[other].keys() < starts:
+                explained |= self._crashes[other].keys()
+        suspects = {name for start in starts for name in suspects_of.get(start, ())}
+        branches = (self._crashes[name].keys() for name in suspects)
+        n_branches = 0
+        for branch in sorted(branches, key=lambda b: (len(b), sorted(map(str, b)))):
+            if branch < starts and branch.isdisjoint(explained):
+                n_branches += 1
+                explained |= branch
+        rest = [crash for start, crash in crashes.items() if start not in explained]
+        n_needed = N_CRASHES_OF_FIRST_PART
+        if part in self._sound_s:
+            n_needed = N_CRASHES_OF_SOUND_PART
+        return (
+            n_branches > 0
+            and n_branches + n_independent(rest) >= n_needed
+            and n_independent(crashes.values()) >= n_needed
+            and _span_s(crashes.values()) >= MIN_SPAN_S
+        )
+
     def _is_explained_by_another(self, part: str) -> bool:
         """Return whether another refused part has all its crashes and more."""
         starts = self._crashes[part].keys()
@@ -435,9 +497,7 @@
             needed = N_CRASHES_OF_FIRST_PART
         else:
             return n_independent(crashes) >= N_CRASHES
-        times_s = [crash.crashed_s for crash in crashes]
-        has_span = max(times_s) - min(times_s) >= MIN_SPAN_S
-        return has_span and n_independent(crashes) >= needed
+        return _span_s(crashes) >= MIN_SPAN_S and n_independent(crashes) >= needed
 
     def _is_trial_due(self, part: str, now_s: float) -> bool:
         times_s = sorted(crash.crashed_s for crash in self._crashes[part].values())
@@ -469,6 +529,11 @@
         self._tried_s.pop(part, None)
 
 
+def _span_s(crashes: Iterable[PartCrash]) -> float:
+    times_s = [crash.crashed_s for crash in crashes]
+    return max(times_s) - min(times_s)
+
+
 def n_independent(crashes: Iterable[PartCrash]) -> int:
     """Count crashes, without those that may have a common cause.
 
