Count crashes of a request by starts of upstreams, and clear a served request

Cause: the names of the crashed upstreams were kept as a set, here, in messages and in the store, and three names were needed.

Change: crashes are kept by start. Alone, that would refuse any lookup that ran at three crashes of a flapping upstream, so a whole response now refutes the crashes known when its request was sent, for peers and the store as well; one gateway tries a refused request after 20 s, at most three times. Names without a start, from older builds, count once. Waiting requests are looked at again.

--- a/src/pomelothread/events.py
+++ b/src/pomelothread/events.py
@@ -477,6 +477,18 @@
         logging.WARNING,
         "cannot store which software was listed lately: %(software)s",
     )
+    CRASHES_REFUTED = (
+        871,
+        logging.INFO,
+        "request %(request_id)s was served, so earlier crashes of upstreams do not "
+        "count against %(fingerprint)s",
+    )
+    CRASHING_REQUEST_TRIED = (
+        872,
+        logging.WARNING,
+        "request %(request_id)s is sent to try whether %(fingerprint)s still crashes "
+        "upstreams",
+    )
     GATEWAY_PEER_UP = (850, logging.INFO, "gateway %(peer)s at %(address)s is up")
     GATEWAY_PEER_SILENT = (
         851,
--- a/src/pomelothread/gateway/admission.py
+++ b/src/pomelothread/gateway/admission.py
@@ -8,7 +8,7 @@
 from ..clock import Clock
 from ..http1.messages import Request
 from ..outcomes import NotRun, Reason
-from ..policy.crash_guard import CrashGuard, request_fingerprint
+from ..policy.crash_guard import request_fingerprint
 from ..policy.crashing_parts import Verdict
 from ..policy.quotas import QuotaTracker
 from ..policy.waiting_order import (
@@ -18,6 +18,7 @@
     urgency,
 )
 from .configuration import Configuration, Organisation, Route
+from .crashes import CrashReporter
 from .dialect import CallerFacts
 from .jobs import Job
 from .part_crashes import PartCrashReporter
@@ -43,7 +44,7 @@
         Configuration and shutdown state of the process.
     quotas : QuotaTracker
         Quotas of organisations.
-    crash_guard : CrashGuard
+    crashes : CrashReporter
         Knows the fingerprints of requests that crash upstreams.
     part_crashes : PartCrashReporter
         Knows the parts of prompts that crash upstreams.
@@ -57,14 +58,14 @@
         self,
         state: GatewayState,
         quotas: QuotaTracker,
-        crash_guard: CrashGuard,
+        crashes: CrashReporter,
         part_crashes: PartCrashReporter,
         clock: Clock,
         random_source: random.Random,
     ) -> None:
         self._state = state
         self._quotas = quotas
-        self._crash_guard = crash_guard
+        self._crashes = crashes
         self._part_crashes = part_crashes
         self._clock = clock
         self._random = random_source
@@ -132,8 +133,9 @@
             request.body,
             organisation.name if organisation else "",
         )
-        if self._crash_guard.is_refused(fingerprint):
-            return Failure(NotRun(Reason.CONVICTED, retry_after_s=CRASH_RETRY_AFTER_S))
+        request_verdict = self._crashes.verdict_on_arrival(fingerprint, arrived_s)
+        if request_verdict is Verdict.REFUSED:
+            return Failure(convicted_request())
         verdict = self._part_crashes.verdict_on_arrival(facts.shared_parts, arrived_s)
         if verdict is Verdict.REFUSED:
             return Failure(convicted_part())
@@ -148,6 +150,8 @@
         job = self._make_job(
             request, facts, arrived_s, configuration, route, organisation, fingerprint
         )
+        if request_verdict is Verdict.TRIAL:
+            self._crashes.begin_trial(job)
         if verdict is Verdict.TRIAL:
             self._part_crashes.begin_trial(job)
         self._state.retry_budget(job.service).earn()
@@ -207,6 +211,11 @@
         )
 
 
+def convicted_request() -> NotRun:
+    """Return the refusal of a request that has crashed upstreams."""
+    return NotRun(Reason.CONVICTED, retry_after_s=CRASH_RETRY_AFTER_S)
+
+
 def convicted_part() -> NotRun:
     """Return the refusal of a request with a part that crashes upstreams."""
     return NotRun(
--- a/src/pomelothread/gateway/forwarding.py
+++ b/src/pomelothread/gateway/forwarding.py
@@ -14,6 +14,7 @@
 from ..http1.messages import Request
 from ..http1.server import Responder
 from ..outcomes import NotKnown, NotRun, Reason
+from ..policy.crashing_parts import Verdict
 from ..policy.repeats import (
     AnswerNotKnown,
     AnswerNotRun,
@@ -39,7 +40,7 @@
     retry_after_s,
     stream_patience_s,
 )
-from .admission import Admission, convicted_part
+from .admission import Admission, convicted_part, convicted_request
 from .attempt import Attempt
 from .dialect import CallerFacts, Dialect
 from .jobs import Job
@@ -342,7 +343,9 @@
                 responder.abort()
                 return "cut"
             case AnswerNotRun(Reason.CONVICTED):
-                refusal = convicted_part()
+                refusal = convicted_request()
+                if self._part_crashes.verdict_on(job) is Verdict.REFUSED:
+                    refusal = convicted_part()
                 self._refuse(responder, job.facts, refusal, job.waiting.arrived_s)
                 return "not run"
             case AnswerNotRun(reason):
--- a/src/pomelothread/gateway/peer_messages.py
+++ b/src/pomelothread/gateway/peer_messages.py
@@ -92,7 +92,7 @@
         heartbeat.
     crashes : dict of str to list of str
         Upstreams that crashed while they ran a request, by the request's
-        fingerprint.
+        fingerprint; each with the Unix time of its start in milliseconds, as NAME@TIME.
     uptime_s : float
         Seconds since the start of the sender.
     other_cells_used : dict of str to float
@@ -123,6 +123,9 @@
         Newest epoch of the store that the sender knows; 0 if it knows none.
     configuration_version : int
         Version of the configuration that the sender has in force; 0 for none.
+    refuted_crashes : dict of str to list of str
+        Those of `crashes` after which the request was served, so that it was not the
+        cause.
     """
 
     incarnation: str
@@ -144,6 +147,7 @@
     sound_parts: list[SoundPart] = []
     store_epoch: int = 0
     configuration_version: int = 0
+    refuted_crashes: dict[str, list[str]] = {}
 
 
 class PermitRequest(msgspec.Struct, array_like=True, tag="permit-request"):
--- a/src/pomelothread/gateway/process.py
+++ b/src/pomelothread/gateway/process.py
@@ -22,7 +22,7 @@
 from ..http1.server import CallerConnection, Handler, Responder, ServerLimits
 from ..metrics import CONTENT_TYPE
 from ..policy.crash_guard import CrashGuard
-from ..policy.crashing_parts import CrashingParts
+from ..policy.crashing_parts import CrashingParts, Verdict
 from ..policy.feed_sharing import FeedWatch, ReadingTimes
 from ..policy.quotas import QuotaTracker
 from ..policy.store_calls import call_times
@@ -38,6 +38,7 @@
     KeyedRecord,
 )
 from .forwarding import Forwarder
+from .jobs import Job
 from .listings import ListingSync
 from .metrics import GatewayMetrics
 from .part_crashes import PartCrashReporter
@@ -126,17 +127,15 @@
         self._random = random_source = random.Random()
         self.metrics = GatewayMetrics(clock)
         self._queue = UpstreamQueue(self._upstreams, clock, random_source)
-        self._crash_guard = CrashGuard()
-        self._crashes = CrashReporter(
-            self._crash_guard, self._adapter.append_crash, clock
-        )
+        self._crashes = CrashReporter(CrashGuard(), self._adapter.append_crash, clock)
         self._part_crashes = PartCrashReporter(
             CrashingParts(), self._adapter.append_part_crash, clock, random_source
         )
-        self._part_crashes.may_try = self._may_try_parts
+        self._crashes.may_try = self._may_try
+        self._part_crashes.may_try = self._may_try
         self._crashes.rewrite_delay_s = self._rewrite_delay_s
         self._part_crashes.rewrite_delay_s = self._rewrite_delay_s
-        self._queue.verdict_on = self._part_crashes.verdict_on
+        self._queue.verdict_on = self._verdict_on_waiting
         self._quotas = QuotaTracker(settings.quota_tolerance, clock.monotonic_s())
         self._quota_notes = QuotaNotes(
             settings.instance,
@@ -164,7 +163,6 @@
         self._results = UpstreamResults(
             self._upstreams,
             self._pool,
-            self._crash_guard,
             self._crashes,
             self._part_crashes,
             self._state,
@@ -179,7 +177,7 @@
             Admission(
                 self._state,
                 self._quotas,
-                self._crash_guard,
+                self._crashes,
                 self._part_crashes,
                 clock,
                 random_source,
@@ -421,8 +419,14 @@
         delay_s = self._random.random() * self._state.n_gateways / FULL_READERS_PER_S
         asyncio.get_running_loop().call_later(delay_s, follower.follow_epoch)
 
-    def _may_try_parts(self) -> bool:
-        """Return whether this gateway tries refused parts for the whole fleet."""
+    def _verdict_on_waiting(self, job: Job) -> Verdict:
+        """Decide whether a request that waits may be sent."""
+        if self._crashes.verdict_on(job) is Verdict.REFUSED:
+            return Verdict.REFUSED
+        return self._part_crashes.verdict_on(job)
+
+    def _may_try(self) -> bool:
+        """Return whether this gateway tries what is refused for the whole fleet."""
         uptime_s = self._clock.monotonic_s() - self._started_s
         is_first = self._peers.rank == 0 and self._peers.cell == 0
         return is_first and uptime_s >= MIN_UPTIME_TO_TRY_S
--- a/src/pomelothread/gateway/reports.py
+++ b/src/pomelothread/gateway/reports.py
@@ -234,6 +234,7 @@
             used = {k: v for k, v in used.items() if v != self._sent_used.get(k)}
             has_news = self._has_news() or self._has_part_news()
             has_news = has_news or self._store_epoch.current != self._sent_epoch
+            has_news = has_news or self._crashes.has_unreported
             has_notices = bool(crashes or leaving or limits or has_news)
             is_same = not (loads or used or has_notices)
             if is_same and waiting == self._sent_waiting:
@@ -267,6 +268,7 @@
             sound_parts,
             self._sent_epoch or 0,
             self._state.versions.version or 0,
+            self._crashes.take_unreported_refuted(),
         )
 
     def _has_part_news(self) -> bool:
@@ -341,7 +343,7 @@
             # A peer that sends heartbeats to another cell does not know the size of
             # the fleet yet. The gossip tells it the division and names live gateways.
             self.link.send_gossip(self._make_gossip(wants_reply=False), peer.address)
-        self._crashes.merge_reported(message.crashes)
+        self._crashes.merge_reported(message.crashes, message.refuted_crashes)
         self._receive_part_news(message.part_crashes, message.sound_parts)
         self._receive_division(message.cell_sizes)
         if message.is_heartbeat and message.uptime_s < HEARTBEAT_S:
--- a/src/pomelothread/gateway/upstream_results.py
+++ b/src/pomelothread/gateway/upstream_results.py
@@ -6,7 +6,6 @@
 from ..clock import Clock
 from ..events import Event, log_event
 from ..http1.client import ConnectionPool, ExchangeFault
-from ..policy.crash_guard import CrashGuard
 from ..policy.crashing_parts import MIN_RESPONDING_S
 from ..policy.departures import UpstreamStart
 from ..policy.repeats import (
@@ -41,12 +40,12 @@
         Source of the failure rates of a service's other upstreams.
     pool : ConnectionPool
         Connections to upstreams.
-    crash_guard : CrashGuard
-        Notified of connections that were cut, with the request's fingerprint.
     crashes : CrashReporter
-        Notified of upstreams that refuse connections.
+        Notified of connections that were cut, of upstreams that refuse connections,
+        and of requests that were served in whole.
     part_crashes : PartCrashReporter
-        Notified of both, and of responses that show that parts of prompts are sound.
+        Notified of the first two, and of responses that show that parts of prompts are
+        sound.
     state : GatewayState
         Starts the probes as background tasks.
     clock : Clock
@@ -57,7 +56,6 @@
         self,
         upstreams: UpstreamTable,
         pool: ConnectionPool,
-        crash_guard: CrashGuard,
         crashes: CrashReporter,
         part_crashes: PartCrashReporter,
         state: GatewayState,
@@ -65,7 +63,6 @@
     ) -> None:
         self._upstreams = upstreams
         self._pool = pool
-        self._crash_guard = crash_guard
         self._crashes = crashes
         self._part_crashes = part_crashes
         # Probe in progress of each upstream that has cut a connection; its result
@@ -140,6 +137,7 @@
 
     def _record_whole_response(self, attempt: Attempt, now_s: float) -> None:
         if attempt.is_framed:
+            self._crashes.observe_served(attempt.job, attempt.sent_s)
             attempt.observe_sound_once(attempt.began_s or now_s)
         elif not attempt.is_known_sound:
             # A crash may have ended it.
@@ -157,7 +155,7 @@
             parts=",".join(job.facts.shared_parts),
             since_first_event_s=began_s and round(now_s - began_s, 3),
         )
-        self._crash_guard.record_cut(job.fingerprint, listing.upstream_id, now_s)
+        self._crashes.record_cut(job, listing.start, now_s)
         if began_s is not None and now_s - began_s >= MIN_RESPONDING_S:
             attempt.observe_sound_once(began_s)
         else:
@@ -192,5 +190,5 @@
     def _record_refused_connection(
         self, listing: UpstreamListing, now_s: float
     ) -> None:
-        self._crashes.record_refused_connection(listing.upstream_id, now_s)
+        self._crashes.record_refused_connection(listing.start, now_s)
         self._part_crashes.record_refused_connection(listing.start, now_s)
--- a/src/pomelothread/policy/crash_guard.py
+++ b/src/pomelothread/policy/crash_guard.py
@@ -1,14 +1,29 @@
 """Refuses requests that repeatedly crash upstreams.
 
-The caller may repeat such a request at any instance, so crash counts are shared
-between instances. Requests that were running at the same upstream when it crashed
-are counted too, but rarely reach the limit, because they are not present at
-several crashes.
+The caller may repeat such a request at any instance, so crashes are shared between
+instances. Each start of an upstream crashes once, whether the next one has another name
+or the same.
+
+Requests that were running at the same upstream when it crashed are counted too. A
+request that is served afterwards has not been the cause: that refutes the crashes that
+were known when it was sent, at all instances. One that is refused is tried again from
+time to time.
 """
 
 import hashlib
+import math
 from collections import OrderedDict
 from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from .crashing_parts import (
+    CRASH_CONFIRMATION_S,
+    FIRST_TRIAL_S,
+    MAX_FAILED_TRIALS,
+    TRIAL_DELAY_FACTOR,
+    Verdict,
+)
+from .departures import UpstreamStart
 
 # Crashes after which a request is refused. One crash can be a coincidence, and so
 # can two if an upstream restarts repeatedly for another reason.
@@ -16,9 +31,11 @@
 # Maximum number of stored fingerprints; a crash adds up to one for each slot of
 # the upstream.
 MAX_FINGERPRINTS = 10_000
-# A connection that is cut counts as a crash of the upstream only if the upstream
-# refuses connections within this time.
-CRASH_CONFIRMATION_S = 3.0
+# Maximum number of crashes, and of refuted ones, that are kept for a fingerprint.
+MAX_CRASHES = 12
+# Time of the start of an upstream that only its name is known of, as older builds share
+# and store it.
+UNKNOWN_START_MS = 0
 
 FINGERPRINT_BYTES = 12
 
@@ -51,38 +68,102 @@
     return digest.hexdigest()
 
 
+@dataclass(slots=True)
+class _Suspicion:
+    """What is known of the crashes that a request was present at.
+
+    Parameters
+    ----------
+    crashed : dict of UpstreamStart to float
+        Starts of upstreams that ended, and the monotonic time at which this instance
+        learned of each.
+    refuted : dict of UpstreamStart to None
+        Those after which the request was served, the oldest first.
+    n_trials : int
+        Number of requests that this instance has sent although they are refused.
+    tried_s : float
+        Monotonic time of the last one.
+    """
+
+    crashed: dict[UpstreamStart, float] = field(default_factory=dict)
+    refuted: dict[UpstreamStart, None] = field(default_factory=dict)
+    n_trials: int = 0
+    tried_s: float = -math.inf
+
+    @property
+    def n_crashes(self) -> int:
+        """Number of crashes, without those that are known once more by name only."""
+        dated = {s.upstream_id for s in self.crashed if s.started_ms}
+        return sum(
+            s.started_ms != UNKNOWN_START_MS or s.upstream_id not in dated
+            for s in self.crashed
+        )
+
+
 class CrashGuard:
-    """Counts the upstreams that have crashed while running each request.
+    """Counts the starts of upstreams that have crashed while running each request.
 
     Examples
     --------
     >>> guard = CrashGuard()
     >>> for number in range(3):
-    ...     guard.record_cut("f", f"engine-{number}", now_s=float(number))
-    ...     _ = guard.record_refused_connection(f"engine-{number}", now_s=number + 0.5)
-    >>> guard.is_refused("f")
+    ...     start = UpstreamStart("engine-1", 1000 + number)
+    ...     guard.record_cut("f", start, now_s=float(number))
+    ...     _ = guard.record_refused_connection(start, now_s=number + 0.5)
+    >>> guard.verdict("f", now_s=3.0)
+    <Verdict.REFUSED: ...>
+    >>> guard.observe_served("f", sent_s=3.0)
     True
+    >>> guard.verdict("f", now_s=4.0)
+    <Verdict.ALLOWED: ...>
     """
 
-    __slots__ = ("_crashed_upstreams", "_recent_cuts")
+    __slots__ = ("_recent_cuts", "_suspicions")
 
     def __init__(self) -> None:
-        self._crashed_upstreams: OrderedDict[str, frozenset[str]] = OrderedDict()
-        self._recent_cuts: dict[str, list[tuple[float, str]]] = {}
+        self._suspicions: OrderedDict[str, _Suspicion] = OrderedDict()
+        self._recent_cuts: dict[UpstreamStart, list[tuple[float, str]]] = {}
 
-    def is_refused(self, fingerprint: str) -> bool:
-        """Return whether a request must not be sent to any upstream."""
-        return len(self._crashed_upstreams.get(fingerprint, ())) >= N_CRASHES_TO_REFUSE
+    def verdict(self, fingerprint: str, now_s: float, may_try: bool = False) -> Verdict:
+        """Decide whether a request may be sent to an upstream.
 
-    def record_cut(self, fingerprint: str, upstream_id: str, now_s: float) -> None:
+        Parameters
+        ----------
+        fingerprint : str
+            Digest of the request.
+        now_s : float
+            Monotonic time.
+        may_try : bool
+            Whether this instance may send a refused request as a trial.
+
+        Returns
+        -------
+        Verdict
+            `TRIAL` until `begin_trial` is called; never `HELD`.
+        """
+        suspicion = self._suspicions.get(fingerprint)
+        if suspicion is None or suspicion.n_crashes < N_CRASHES_TO_REFUSE:
+            return Verdict.ALLOWED
+        if may_try and _is_trial_due(suspicion, now_s):
+            return Verdict.TRIAL
+        return Verdict.REFUSED
+
+    def begin_trial(self, fingerprint: str, now_s: float) -> None:
+        """Record that a request with the verdict `TRIAL` is going to be sent."""
+        suspicion = self._suspicions.get(fingerprint)
+        if suspicion is not None:
+            suspicion.n_trials += 1
+            suspicion.tried_s = now_s
+
+    def record_cut(self, fingerprint: str, start: UpstreamStart, now_s: float) -> None:
         """Record that a connection was cut while an upstream ran a request."""
-        cuts = self._recent_cuts.setdefault(upstream_id, [])
+        cuts = self._recent_cuts.setdefault(start, [])
         cuts[:] = [cut for cut in cuts if now_s - cut[0] < CRASH_CONFIRMATION_S]
         cuts.append((now_s, fingerprint))
 
     def record_refused_connection(
-        self, upstream_id: str, now_s: float
-    ) -> dict[str, frozenset[str]]:
+        self, start: UpstreamStart, now_s: float
+    ) -> dict[str, frozenset[UpstreamStart]]:
         """Record that an upstream refuses connections.
 
         Requests whose connection to it was cut within the last
@@ -90,45 +171,136 @@
 
         Parameters
         ----------
-        upstream_id : str
-            Name of the upstream.
+        start : UpstreamStart
+            Start of the upstream.
         now_s : float
             Monotonic time.
 
         Returns
         -------
-        dict of str to frozenset of str
-            Fingerprints with a newly counted crash and all upstreams that have
-            crashed while running them, to be shared with other instances.
+        dict of str to frozenset of UpstreamStart
+            Fingerprints with a newly counted crash and all their crashes, to be
+            shared with other instances.
         """
-        changed: dict[str, frozenset[str]] = {}
-        for cut_s, fingerprint in self._recent_cuts.pop(upstream_id, []):
-            if now_s - cut_s < CRASH_CONFIRMATION_S:
-                known = self._crashed_upstreams.get(fingerprint, frozenset())
-                if upstream_id not in known:
-                    self.merge(fingerprint, (upstream_id,))
-                    changed[fingerprint] = self._crashed_upstreams[fingerprint]
+        changed: dict[str, frozenset[UpstreamStart]] = {}
+        for cut_s, fingerprint in self._recent_cuts.pop(start, []):
+            is_recent = now_s - cut_s < CRASH_CONFIRMATION_S
+            if is_recent and self.merge(fingerprint, (start,), now_s).is_new:
+                changed[fingerprint] = self.crashes_of(fingerprint)
         return changed
 
-    def merge(self, fingerprint: str, upstream_ids: Iterable[str]) -> None:
-        """Add crashes that were counted by another instance."""
-        known = self._crashed_upstreams.pop(fingerprint, frozenset())
-        self._crashed_upstreams[fingerprint] = known | frozenset(upstream_ids)
-        if len(self._crashed_upstreams) > MAX_FINGERPRINTS:
-            self._crashed_upstreams.popitem(last=False)
+    def merge(
+        self, fingerprint: str, starts: Iterable[UpstreamStart], now_s: float
+    ) -> "Merged":
+        """Add crashes that were counted by this or another instance.
+
+        Parameters
+        ----------
+        fingerprint : str
+            Digest of the request.
+        starts : iterable of UpstreamStart
+            Starts of upstreams that ended.
+        now_s : float
+            Monotonic time.
+        """
+        suspicion = self._suspicions.pop(fingerprint, None) or _Suspicion()
+        self._suspicions[fingerprint] = suspicion
+        is_new = has_refuted = False
+        for start in starts:
+            if start in suspicion.refuted:
+                has_refuted = True
+            elif (
+                start not in suspicion.crashed and len(suspicion.crashed) < MAX_CRASHES
+            ):
+                suspicion.crashed[start] = now_s
+                is_new = True
+        if len(self._suspicions) > MAX_FINGERPRINTS:
+            self._suspicions.popitem(last=False)
+        return Merged(is_new, has_refuted)
+
+    def observe_served(self, fingerprint: str, sent_s: float) -> bool:
+        """Record that a request was served in whole.
+
+        Parameters
+        ----------
+        fingerprint : str
+            Digest of the request.
+        sent_s : float
+            Monotonic time at which it was sent.
+
+        Returns
+        -------
+        bool
+            Whether that refutes any crash.
+        """
+        suspicion = self._suspicions.get(fingerprint)
+        if suspicion is None:
+            return False
+        known = [s for s, known_s in suspicion.crashed.items() if known_s <= sent_s]
+        self.refute(fingerprint, known)
+        return bool(known)
+
+    def refute(self, fingerprint: str, starts: Iterable[UpstreamStart]) -> None:
+        """Drop crashes after which some instance has seen the request served."""
+        suspicion = self._suspicions.setdefault(fingerprint, _Suspicion())
+        for start in starts:
+            suspicion.crashed.pop(start, None)
+            suspicion.refuted.pop(start, None)
+            suspicion.refuted[start] = None
+        while len(suspicion.refuted) > MAX_CRASHES:
+            del suspicion.refuted[next(iter(suspicion.refuted))]
+        if not suspicion.crashed:
+            suspicion.n_trials = 0
+        if len(self._suspicions) > MAX_FINGERPRINTS:
+            self._suspicions.popitem(last=False)
 
-    def upstreams_of(self, fingerprint: str) -> frozenset[str]:
-        """Return the upstreams that have crashed while running a request."""
-        return self._crashed_upstreams.get(fingerprint, frozenset())
+    def crashes_of(self, fingerprint: str) -> frozenset[UpstreamStart]:
+        """Return the starts of upstreams that have crashed while running a request."""
+        suspicion = self._suspicions.get(fingerprint)
+        return frozenset(suspicion.crashed) if suspicion else frozenset()
+
+    def refuted_of(self, fingerprint: str) -> frozenset[UpstreamStart]:
+        """Return the crashes after which a request was served."""
+        suspicion = self._suspicions.get(fingerprint)
+        return frozenset(suspicion.refuted) if suspicion else frozenset()
 
     def fingerprints(self) -> list[str]:
         """Return the fingerprints of all requests with a known crash."""
-        return list(self._crashed_upstreams)
-
-    def newest(self, n_most: int) -> dict[str, list[str]]:
-        """Return the most recently changed fingerprints and their upstreams."""
-        fingerprints_by_age = list(self._crashed_upstreams)[-n_most:]
-        return {
-            fingerprint: sorted(self._crashed_upstreams[fingerprint])
-            for fingerprint in fingerprints_by_age
-        }
+        return list(self._suspicions)
+
+    def newest(self, n_most: int) -> dict[str, frozenset[UpstreamStart]]:
+        """Return the most recently changed fingerprints and their crashes."""
+        newest: dict[str, frozenset[UpstreamStart]] = {}
+        for fingerprint in reversed(self._suspicions):
+            if len(newest) == n_most:
+                break
+            crashes = self.crashes_of(fingerprint)
+            if crashes:
+                newest[fingerprint] = crashes
+        return newest
+
+
+@dataclass(frozen=True, slots=True)
+class Merged:
+    """What was new among crashes that were added.
+
+    Parameters
+    ----------
+    is_new : bool
+        Whether any was not known.
+    has_refuted : bool
+        Whether any has been refuted, so that whoever names it has to be told.
+    """
+
+    is_new: bool
+    has_refuted: bool
+
+
+def _is_trial_due(suspicion: _Suspicion, now_s: float) -> bool:
+    # Crashes beyond those that are needed were those of trials. Counting them in the
+    # evidence keeps the count over restarts.
+    n_failed = suspicion.n_crashes - N_CRASHES_TO_REFUSE
+    if max(n_failed, suspicion.n_trials) >= MAX_FAILED_TRIALS:
+        return False
+    last_s = max(*suspicion.crashed.values(), suspicion.tried_s)
+    return now_s - last_s >= FIRST_TRIAL_S * TRIAL_DELAY_FACTOR**n_failed
--- a/tests/test_fuzz_edges.py
+++ b/tests/test_fuzz_edges.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+from datetime import UTC, datetime
 
 import msgspec
 import pytest
@@ -12,7 +13,7 @@
 
 from limit_fleet import LimitFleet
 from pomelothread.addresses import Address
-from pomelothread.clock import SystemClock
+from pomelothread.clock import ManualClock, SystemClock
 from pomelothread.gateway.crashes import CrashReporter
 from pomelothread.gateway.events_of_stream import EventSplitter
 from pomelothread.gateway.feeds import KeyedRecord
@@ -112,7 +113,9 @@
 def test_no_record_of_the_store_raises(data):
     decode_configuration(data)
     decode_listing(KeyedRecord("i-1", data))
-    CrashReporter(CrashGuard(), None, None).apply(KeyedRecord("fingerprint", data))
+    CrashReporter(
+        CrashGuard(), None, ManualClock(datetime(2026, 3, 1, tzinfo=UTC))
+    ).apply(KeyedRecord("fingerprint", data))
     records = _decode_records(data)
     assert records is None or all(isinstance(r, KeyedRecord) for r in records)
 
