Refund a quota in the time of the charge

Cause: a refund was booked as negative units at the time of the refund, so it stayed in the window after its charge had left it. Peers booked the falling sums in the same way, notes carried the negative units over a restart, and a window that a configuration had made anew got refunds for charges that it never had.

Evidence: the tracker alone. On the old sources a charge of 500 that is refunded after 3 s lets more than the limit be admitted 8.2 s later, one that is refunded after its expiry at once; test_a_refund_ends_with_its_charge has these times.

Change: units leave the slot of the charge, or earlier ones, which expire sooner. Sums that peers have been told of do not fall; refunds are rows with the age of the charge, told once. Other cells count a refunded request until it expires. The test of refunds that were not reported passes the time of the charge now; what it asserts is the same.

--- a/src/pomelothread/gateway/admission.py
+++ b/src/pomelothread/gateway/admission.py
@@ -98,8 +98,12 @@
         """Refund the quota that a request was charged, if it was never sent."""
         if job.organisation is not None:
             units = quota_units(job.organisation, job.facts)
-            now_s = self._clock.monotonic_s()
-            self._quotas.refund(job.organisation.name, units, now_s)
+            self._quotas.refund(
+                job.organisation.name,
+                units,
+                job.waiting.arrived_s,
+                self._clock.monotonic_s(),
+            )
 
     async def _wait_until_prepared(self) -> None:
         """Wait for the startup reads of the store, up to `MAX_STARTUP_WAIT_S`."""
--- a/src/pomelothread/gateway/peer_messages.py
+++ b/src/pomelothread/gateway/peer_messages.py
@@ -11,6 +11,8 @@
 MAX_NAMED_PEERS = 40
 # Maximum number of leaving upstreams that one message names.
 MAX_LEAVING = 16
+# Maximum number of refunds that one message names.
+MAX_REFUNDS = 20
 # Maximum number of limits of upstreams that one message names.
 MAX_LIMITS = 4
 
@@ -126,6 +128,9 @@
     refuted_crashes : dict of str to list of str
         Those of `crashes` after which the request was served, so that it was not the
         cause.
+    refunds : list of (str, float, float)
+        Charges among `used` that were not needed: organisation, seconds since the
+        charge, and units. They are not repeated.
     """
 
     incarnation: str
@@ -148,6 +153,7 @@
     store_epoch: int = 0
     configuration_version: int = 0
     refuted_crashes: dict[str, list[str]] = {}
+    refunds: list[tuple[str, float, float]] = []
 
 
 class PermitRequest(msgspec.Struct, array_like=True, tag="permit-request"):
--- a/src/pomelothread/gateway/reports.py
+++ b/src/pomelothread/gateway/reports.py
@@ -23,6 +23,7 @@
     MAX_LEAVING,
     MAX_LIMITS,
     MAX_NAMED_PEERS,
+    MAX_REFUNDS,
     GossipMessage,
     LoadReport,
     PartCrashReport,
@@ -235,12 +236,14 @@
             has_news = self._has_news() or self._has_part_news()
             has_news = has_news or self._store_epoch.current != self._sent_epoch
             has_news = has_news or self._crashes.has_unreported
+            has_news = has_news or self._quotas.has_untold_refunds
             has_notices = bool(crashes or leaving or limits or has_news)
             is_same = not (loads or used or has_notices)
             if is_same and waiting == self._sent_waiting:
                 return None
         self._sent_loads = current
         self._sent_used.update(used)
+        self._quotas.mark_reported(now_s)
         self._sent_waiting = waiting
         self._sent_epoch = self._store_epoch.current
         self._sequence += 1
@@ -269,6 +272,7 @@
             self._sent_epoch or 0,
             self._state.versions.version or 0,
             self._crashes.take_unreported_refuted(),
+            self._quotas.take_untold_refunds(MAX_REFUNDS, now_s),
         )
 
     def _has_part_news(self) -> bool:
@@ -335,6 +339,7 @@
             self._quotas.observe_peer(
                 peer.incarnation, message.used, now_s, message.uptime_s
             )
+            self._quotas.observe_refunds(peer.incarnation, message.refunds, now_s)
         if message.other_cells_used:
             # Totals of the other cells, as known to the representative of a cell.
             source = f"others by {peer.incarnation}"
--- a/src/pomelothread/policy/quotas.py
+++ b/src/pomelothread/policy/quotas.py
@@ -13,6 +13,7 @@
 
 import bisect
 import math
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import Annotated
 
@@ -50,6 +51,9 @@
 # A note that would not be empty is due after this long even without new requests, so
 # that the absence of recent notes shows that they could not be written.
 MAX_NOTE_AGE_S = 4.0
+# Refunds of charges that are about to expire are not told to peers: a peer may have
+# dropped the charge by then and would cancel another one.
+REFUND_MARGIN_S = 1.5
 # Maximum difference between the clocks of two instances. Admissions in a note are
 # treated as more recent by this, so that they expire later.
 CLOCK_ERROR_S = 2.5
@@ -117,6 +121,28 @@
         bisect.insort(self._slots, (admitted_s, units))
         self.total += units
 
+    def charged_in_slot(self, charged_s: float) -> float:
+        """Return the units in the slot of a charge; 0.0 if it has expired."""
+        position = bisect.bisect_right(self._slots, (charged_s, math.inf)) - 1
+        if position < 0 or charged_s - self._slots[position][0] >= SLOT_S:
+            return 0.0
+        return self._slots[position][1]
+
+    def remove(self, charged_s: float, units: float) -> None:
+        """Remove units that were charged at some time and are not used.
+
+        They are taken from the slot of the charge and, if it lacks them, from the ones
+        before, which expire sooner. Units that have expired are not removed again.
+        """
+        position = bisect.bisect_right(self._slots, (charged_s, math.inf)) - 1
+        while position >= 0 and units > 0.0:
+            start_s, charged = self._slots[position]
+            removed = min(units, max(0.0, charged))
+            self._slots[position] = (start_s, charged - removed)
+            self.total -= removed
+            units -= removed
+            position -= 1
+
     def expire(self, now_s: float) -> None:
         n_expired = 0
         for start_s, units in self._slots:
@@ -163,7 +189,8 @@
             return 0.0
         before = self.used_by_source.get(source)
         self.used_by_source[source] = total
-        if before is None:
+        if before is None or total <= before:
+            # Sums of older builds fall with a refund, which would outlive its charge.
             return 0.0
         self.window.add(total - before, now_s)
         return total - before
@@ -189,14 +216,17 @@
     """
 
     __slots__ = (
+        "_counted_from_s_by_peer",
         "_knows_past_use",
         "_last_cells_report_s",
         "_last_note_s",
         "_last_report_s_by_peer",
         "_n_cells",
         "_quotas",
+        "_reported_s",
         "_started_s",
         "_tolerance",
+        "_untold_refunds",
     )
 
     def __init__(self, tolerance: QuotaTolerance, started_s: float) -> None:
@@ -208,6 +238,12 @@
         self._last_note_s = started_s
         self._quotas: dict[str, _Quota] = {}
         self._last_report_s_by_peer: dict[str, float] = {}
+        # Time since which the charges of each peer are counted.
+        self._counted_from_s_by_peer: dict[str, float] = {}
+        # Refunds that peers have not been told of, by organisation and time of the
+        # charge.
+        self._untold_refunds: dict[tuple[str, float], float] = {}
+        self._reported_s = started_s
 
     def set_quota(
         self, organisation: str, rate_per_s: float, burst_units: float
@@ -261,14 +297,105 @@
         quota.cell_used += units
         return True
 
-    def refund(self, organisation: str, units: float, now_s: float) -> None:
-        """Refund the units of a request that was not sent to any upstream."""
+    def refund(
+        self, organisation: str, units: float, charged_s: float, now_s: float
+    ) -> None:
+        """Refund the units of a request that was not sent to any upstream.
+
+        They leave the window as if they had not been charged. A charge that has
+        expired is not refunded, nor one that this tracker has not made.
+
+        Parameters
+        ----------
+        organisation : str
+            Organisation that sent the request.
+        units : float
+            Units that it was charged.
+        charged_s : float
+            Monotonic time that `try_take` was given for it.
+        now_s : float
+            Monotonic time.
+        """
         quota = self._quotas.get(organisation)
-        if quota is not None:
-            quota.window.add(-units, now_s)
-            quota.own_window.add(-units, now_s)
+        if quota is None:
+            return
+        quota.window.expire(now_s)
+        quota.own_window.expire(now_s)
+        units = min(units, quota.own_window.charged_in_slot(charged_s))
+        if units <= 0.0:
+            return
+        quota.own_window.remove(charged_s, units)
+        quota.window.remove(charged_s, units)
+        if charged_s > self._reported_s:
             quota.own_used -= units
             quota.cell_used -= units
+            return
+        # Peers have booked the charge. A lower sum would cancel other charges, which
+        # expire later.
+        key = organisation, charged_s
+        self._untold_refunds[key] = self._untold_refunds.get(key, 0.0) + units
+
+    def mark_reported(self, now_s: float) -> None:
+        """Record that peers have been sent what was admitted until now."""
+        self._reported_s = now_s
+
+    @property
+    def has_untold_refunds(self) -> bool:
+        """Whether there are refunds that peers have not been told of."""
+        return bool(self._untold_refunds)
+
+    def take_untold_refunds(
+        self, n_most: int, now_s: float
+    ) -> list[tuple[str, float, float]]:
+        """Take refunds that peers have not been told of.
+
+        Parameters
+        ----------
+        n_most : int
+            Maximum number of rows. The rest is returned later, unless it is too old.
+        now_s : float
+            Monotonic time.
+
+        Returns
+        -------
+        list of (str, float, float)
+            Organisation, seconds since the charge, and units.
+        """
+        rows: list[tuple[str, float, float]] = []
+        for organisation, charged_s in list(self._untold_refunds):
+            if len(rows) == n_most:
+                break
+            units = self._untold_refunds.pop((organisation, charged_s))
+            age_s = now_s - charged_s
+            if age_s <= self._tolerance.window_s - REFUND_MARGIN_S:
+                rows.append((organisation, round(age_s, 3), units))
+        return rows
+
+    def observe_refunds(
+        self, peer: str, refunds: Iterable[tuple[str, float, float]], now_s: float
+    ) -> None:
+        """Take back charges of a peer that were not used.
+
+        A refund that does not arrive is counted as used until it expires.
+
+        Parameters
+        ----------
+        peer : str
+            Incarnation of the peer.
+        refunds : iterable of (str, float, float)
+            Organisation, seconds since the charge, and units.
+        now_s : float
+            Monotonic time.
+        """
+        counted_from_s = self._counted_from_s_by_peer.get(peer, math.inf)
+        for organisation, age_s, units in refunds:
+            quota = self._quotas.get(organisation)
+            is_valid = 0.0 <= age_s < math.inf and 0.0 < units < math.inf
+            if quota is None or not is_valid or now_s - age_s < counted_from_s:
+                continue
+            quota.window.expire(now_s)
+            if age_s <= self._tolerance.window_s - REFUND_MARGIN_S:
+                quota.window.remove(now_s - age_s, units)
 
     def seconds_until(self, organisation: str, units: float, now_s: float) -> float:
         """Return the seconds until a refused request could be admitted."""
@@ -306,6 +433,9 @@
         """
         is_recent = uptime_s < self._tolerance.window_s
         self._last_report_s_by_peer[peer] = now_s
+        if peer not in self._counted_from_s_by_peer:
+            uncounted_s = 0.0 if not is_recent else uptime_s
+            self._counted_from_s_by_peer[peer] = now_s - uncounted_s
         for organisation, total in used.items():
             quota = self._quotas.get(organisation)
             if quota is None:
@@ -367,6 +497,7 @@
         a peer that has not reported before.
         """
         self._last_report_s_by_peer.pop(peer, None)
+        self._counted_from_s_by_peer.pop(peer, None)
         for quota in self._quotas.values():
             quota.used_by_source.pop(peer, None)
 
@@ -471,6 +602,9 @@
                 if quota is None:
                     continue
                 for age_s, units in by_age:
+                    if units <= 0.0:
+                        # Older builds noted refunds, which would outlive the charges.
+                        continue
                     admitted_s = now_s - note_age_s - age_s
                     quota.window.add_past(units, admitted_s)
                     if noted_by == instance:
--- a/tests/test_policy_quotas.py
+++ b/tests/test_policy_quotas.py
@@ -12,6 +12,7 @@
     PEER_SILENT_AFTER_S,
     USED_SHARE_OF_RATIO,
     USED_SHARE_OF_SLACK,
+    QuotaNote,
     QuotaTolerance,
     QuotaTracker,
 )
@@ -248,11 +249,144 @@
 def test_units_of_unsent_requests_are_refunded_and_not_reported():
     tracker = make_tracker()
     assert tracker.try_take("club", 500.0, 0.0)
-    tracker.refund("club", 500.0, 0.1)
+    tracker.refund("club", 500.0, 0.0, 0.1)
     assert tracker.used() == {"club": 0.0}
     assert tracker.try_take("club", LIMIT - 1, 0.2)
 
 
+# Guards against a refund that stays in the window longer than its charge, and counts
+# twice.
+@pytest.mark.parametrize("refunded_s", [0.0, 0.1, 3.0, 7.9, 8.1, 8.3, 9.0, 20.0])
+def test_a_refund_ends_with_its_charge(refunded_s):
+    tracker = make_tracker()
+    assert tracker.try_take("club", 500.0, 0.0)
+    tracker.refund("club", 500.0, 0.0, refunded_s)
+    for now_s in (refunded_s, refunded_s + 8.5, refunded_s + 30.0):
+        assert not tracker.try_take("club", LIMIT + 1.0, now_s)
+    now_s = refunded_s + 31.0
+    assert tracker.try_take("club", LIMIT, now_s)
+    # No note gives units back to the next process, either.
+    note = tracker.make_note(now_s, UNIX_MS)
+    assert all(units >= 0.0 for _, units in note.used["club"])
+
+
+def test_only_what_was_charged_is_refunded():
+    tracker = make_tracker()
+    assert tracker.try_take("club", 500.0, 0.0)
+    tracker.set_quota("late", RATE, BURST)
+    for name in ("late", "unknown"):
+        tracker.refund(name, 500.0, 0.0, 1.0)
+    tracker.refund("club", 900.0, 0.0, 1.0)
+    tracker.refund("club", 500.0, 0.0, 1.0)
+    assert not tracker.try_take("club", LIMIT + 1.0, 2.0)
+    assert not tracker.try_take("late", LIMIT + 1.0, 2.0)
+    # A configuration has taken the organisation away meanwhile.
+    assert tracker.try_take("club", 500.0, 3.0)
+    tracker.keep_only(set())
+    tracker.set_quota("club", RATE, BURST)
+    tracker.refund("club", 500.0, 3.0, 4.0)
+    assert not tracker.try_take("club", LIMIT + 1.0, 4.0)
+
+
+class Instance:
+    """A tracker, and the requests that it has admitted and not sent yet."""
+
+    def __init__(self, started_s=-100.0):
+        self.tracker = make_tracker(started_s)
+        self.waiting = []
+
+
+@pytest.mark.parametrize("loss", [0.0, 0.2])
+@pytest.mark.parametrize("wait_s", [0.05, 3.0, 7.5, 9.0])
+@pytest.mark.parametrize("n_instances", [1, 2, 5])
+def test_instances_that_refund_stay_within_what_is_allowed(n_instances, wait_s, loss):
+    # Waves of requests wait, and are refused and refunded; then they are sent at once.
+    source = random.Random(5)
+    fleet = [Instance() for _ in range(n_instances)]
+    sent, sums = [], {}
+    for step in range(3000):
+        now_s = step * 0.02
+        instance = source.choice(fleet)
+        is_overloaded = int(now_s / 6.0) % 2 == 0
+        if instance.tracker.try_take("club", 10.0, now_s):
+            if is_overloaded:
+                instance.waiting.append(now_s)
+            else:
+                sent.append((now_s, 10.0))
+        for number, sender in enumerate(fleet):
+            while sender.waiting and sender.waiting[0] <= now_s - wait_s:
+                sender.tracker.refund("club", 10.0, sender.waiting.pop(0), now_s)
+            if step % n_instances != number:
+                continue
+            sums[number] = sender.tracker.used()
+            sender.tracker.mark_reported(now_s)
+            refunds = sender.tracker.take_untold_refunds(100, now_s)
+            for other, peer in enumerate(fleet):
+                if other != number and source.random() >= loss:
+                    peer.tracker.observe_peer(str(number), sums[number], now_s)
+                    peer.tracker.observe_refunds(str(number), refunds, now_s)
+    assert most_in_a_window(sent) <= ALLOWED
+    if wait_s < 1.0 and not loss:
+        # Refunded units are admitted again within their window.
+        assert sum(units for _, units in sent) >= 0.8 * LIMIT * 30.0 / 8.25
+
+
+REFUNDS = [
+    (("club", 0.5, 500.0), 500.0),
+    (("club", 0.5, 900.0), 900.0),
+    (("club", 0.5, 1e9), 1000.0),
+    # Charged before this instance has counted the peer, or long ago.
+    (("club", 2.5, 500.0), 0.0),
+    (("club", 7.5, 500.0), 0.0),
+    (("other", 0.5, 500.0), 0.0),
+    (("club", 0.5, -500.0), 0.0),
+    (("club", -0.5, 500.0), 0.0),
+    (("club", float("nan"), 500.0), 0.0),
+    (("club", 0.5, float("inf")), 0.0),
+]
+
+
+@pytest.mark.parametrize(("refund", "units"), REFUNDS)
+def test_a_refund_of_a_peer_takes_back_what_was_counted(refund, units):
+    tracker = make_tracker()
+    tracker.observe_peer("a", {"club": 0.0}, 8.0)
+    tracker.observe_peer("a", {"club": 1000.0}, 9.4)
+    tracker.observe_refunds("a", [refund], 10.0)
+    tracker.observe_refunds("unknown", [("club", 0.1, 500.0)], 10.0)
+    room = LIMIT - 1000.0 + units
+    assert not tracker.try_take("club", room + 0.1, 10.0)
+    assert tracker.try_take("club", room - 0.1, 10.0)
+
+
+def test_refunds_are_told_once_and_while_peers_still_count_the_charge():
+    tracker = make_tracker()
+    for now_s in (0.0, 1.0, 2.0):
+        assert tracker.try_take("club", 100.0, now_s)
+    tracker.mark_reported(2.5)
+    for now_s in (0.0, 1.0, 2.0):
+        tracker.refund("club", 100.0, now_s, 7.2)
+    assert tracker.used() == {"club": 300.0}
+    # The first charge is too old.
+    assert tracker.take_untold_refunds(1, 7.2) == [("club", 6.2, 100.0)]
+    assert tracker.take_untold_refunds(9, 7.2) == [("club", 5.2, 100.0)]
+    assert not tracker.has_untold_refunds
+
+
+def test_a_sum_of_an_older_build_that_falls_gives_nothing_back():
+    tracker = make_tracker()
+    for now_s, total in ((0.0, 0.0), (0.5, 900.0), (1.0, 400.0), (1.5, 500.0)):
+        tracker.observe_peer("a", {"club": total}, now_s)
+    assert not tracker.try_take("club", LIMIT - 999.0, 1.5)
+    assert tracker.try_take("club", LIMIT - 1001.0, 1.5)
+
+
+def test_a_note_of_an_older_build_gives_nothing_back():
+    tracker = make_tracker(10.0)
+    note = QuotaNote(UNIX_MS, {"club": [(1.0, 200.0), (0.5, -5000.0)]})
+    tracker.restore({"a": note}, "b", 10.0, UNIX_MS)
+    assert not tracker.try_take("club", RATE * 8 + BURST - 199.0, 10.0)
+
+
 def test_a_refused_request_is_admitted_after_the_stated_time():
     tracker = make_tracker()
     assert tracker.try_take("club", LIMIT, 0.0)
