Do not take the end of a killed upstream for the end of its response

Callers saw: streams that ended as complete before their last event, and halves of plain bodies with status 200, when an upstream was killed. Users report it from real machines.

Cause: the kernel closes the connections of a killed process like those of one that has finished, and a response with neither length nor chunks ends with its connection.

Stand-ins that reset their connections cannot show it.

Change: after such a response the gateway connects to the upstream again; it has ended if that fails or the connection is closed within 20 ms.

--- a/src/pomelothread/gateway/attempt.py
+++ b/src/pomelothread/gateway/attempt.py
@@ -48,6 +48,8 @@
 # Maximum pause between events before a resumable stream is continued on another
 # upstream. Callers disconnect after two seconds.
 STREAM_IDLE_TIMEOUT_S = 1.2
+# An upstream is alive if a new connection to it lasts for this long.
+ALIVE_AFTER_S = 0.02
 # Idle time after which a pooled connection is not reused. It is shorter for requests
 # that must not be sent twice, since the upstream may be closing the connection.
 MAX_IDLE_UNREPEATABLE_S = 1.0
@@ -115,6 +117,9 @@
     is_framed : bool
         Whether the response declares where it ends, so that a crash does not look
         like its end.
+    is_upstream_alive : bool
+        Whether the upstream was seen to accept connections after a response without
+        framing.
     is_known_sound : bool
         Whether `observe_sound` has been called.
     """
@@ -135,6 +140,7 @@
         "has_first_event",
         "is_framed",
         "is_known_sound",
+        "is_upstream_alive",
         "job",
         "lease",
         "sent_s",
@@ -175,6 +181,7 @@
         self.status = 0
         self.was_sent = False
         self.is_framed = True
+        self.is_upstream_alive = False
         self.is_known_sound = False
 
     async def run(self) -> AttemptEnd:
@@ -290,6 +297,8 @@
         body = await self._read_buffered(exchange)
         if not isinstance(body, bytes):
             return _broken_by(body)
+        if exchange.is_complete and not await self._has_ended_well():
+            return _ended_with_upstream()
         if self.job.first_head is not None:
             return Broken(f"status {head.status} when resuming a stream")
         if not exchange.is_complete:
@@ -304,6 +313,8 @@
             return _broken_by(body)
         headers = tuple(end_to_end(head.headers))
         if exchange.is_complete:
+            if not await self._has_ended_well():
+                return _ended_with_upstream()
             self._responder.respond(head.status, headers, body)
             return Delivered()
         self._responder.start(head.status, headers)
@@ -314,6 +325,8 @@
                 case bytes():
                     body = part
                 case EndOfBody():
+                    if not await self._has_ended_well():
+                        return _ended_with_upstream()
                     self._responder.finish()
                     return Delivered()
                 case ExchangeFault():
@@ -335,7 +348,7 @@
                 case ExchangeFault():
                     return _broken_by(events)
                 case EndOfBody():
-                    return self._finish_stream(splitter, head)
+                    return await self._finish_stream(splitter, head)
             if splitter.is_too_long:
                 return Broken("event larger than the limit")
             if is_resumed and not job.may_be_followed_by(first_event_id(events)):
@@ -366,14 +379,40 @@
             headers = tuple(end_to_end(head.headers))
             self._responder.start(head.status, headers)
 
-    def _finish_stream(self, splitter: EventSplitter, head: ResponseHead) -> AttemptEnd:
+    async def _finish_stream(
+        self, splitter: EventSplitter, head: ResponseHead
+    ) -> AttemptEnd:
         if splitter.has_partial_event:
             was_cut = not self.is_framed
             return Broken("stream ended within an event", was_cut=was_cut)
+        if not await self._has_ended_well():
+            return _ended_with_upstream()
         self._start_stream(head)
         self._responder.finish(splitter.remainder)
         return Delivered()
 
+    async def _has_ended_well(self) -> bool:
+        """Return whether a whole response was not ended by the end of its upstream.
+
+        The connections of a process that is killed are closed like those of one that
+        has finished, so a response without framing proves nothing. The next request
+        uses the connection that this opens, in place of the one that was closed.
+        """
+        if self.is_framed:
+            return True
+        address = self.lease.upstream.listing.address
+        connection = await self._pool.connect(address)
+        if isinstance(connection, ExchangeFault):
+            return False
+        # A process that ends may close its listening socket last, and resets then what
+        # it has not accepted.
+        await _with_timeout(connection.stream.until_closed(), ALIVE_AFTER_S)
+        if connection.stream.ended:
+            return False
+        self._pool.release(address, connection)
+        self.is_upstream_alive = True
+        return True
+
     def observe_sound_once(self, began_s: float) -> None:
         """Record that the upstream began to respond and did not crash."""
         if not self.is_known_sound:
@@ -459,6 +498,10 @@
             return events
 
 
+def _ended_with_upstream() -> Broken:
+    return Broken("response without framing ended with its upstream", was_cut=True)
+
+
 def _broken_by(fault: ExchangeFault) -> Broken:
     return Broken(fault.value, was_cut=fault is ExchangeFault.CUT)
 
--- a/src/pomelothread/http1/byte_stream.py
+++ b/src/pomelothread/http1/byte_stream.py
@@ -144,6 +144,10 @@
             return
         self._transport.close()
 
+    async def until_closed(self) -> None:
+        """Wait for the end of the connection; it is not affected by a cancellation."""
+        await asyncio.shield(self.closed)
+
     def abort(self) -> None:
         """Close the connection at once and discard unsent bytes."""
         self._open_transport.abort()
