Go on with a stream only after an event with an id, and never back

Callers saw: a stream that they took up began again, so that numbers went back; events without ids came twice after a break; and a stream with a time to wait before its first event was cut although it could go on.

Cause: what an upstream sent was compared with what the caller had only if the gateway itself had begun the response; without the id of the last event it asked from the start; and blocks without data were taken for events.

Change: the first event must follow the caller's, whoever asked; a stream whose last event has no id is cut; blocks without data are relayed and not compared.

--- a/src/pomelothread/gateway/attempt.py
+++ b/src/pomelothread/gateway/attempt.py
@@ -26,7 +26,7 @@
 from ..policy.stream_versions import Software
 from ..policy.upstream_speed import predict_first_event_s
 from .dialect import Dialect, ResponseFacts
-from .events_of_stream import EventSplitter, first_event_id
+from .events_of_stream import EventSplitter, first_event_id, has_event
 from .jobs import Job
 from .limit_log import log_limit_change
 from .queue import Lease, UpstreamQueue
@@ -335,7 +335,8 @@
     async def _relay_events(self, exchange: Exchange, head: ResponseHead) -> AttemptEnd:
         job, speed = self.job, self.lease.upstream.speed
         splitter = EventSplitter()
-        is_resumed = job.first_head is not None
+        # Also if the caller takes up a stream that an earlier request has begun.
+        goes_on = job.first_head is not None or job.last_event_id is not None
         n_ids_before = job.n_event_ids
         last_event_s = self.sent_s
         timeout_s = self._first_byte_timeout_s()
@@ -351,9 +352,10 @@
                     return await self._finish_stream(splitter, head)
             if splitter.is_too_long:
                 return Broken("event larger than the limit")
-            if is_resumed and not job.may_be_followed_by(first_event_id(events)):
-                return Broken("resumed stream does not go on after the last event")
-            is_resumed = False
+            if goes_on and has_event(events):
+                if not job.may_be_followed_by(first_event_id(events)):
+                    return Broken("resumed stream does not go on after the last event")
+                goes_on = False
             now_s = self._clock.monotonic_s()
             self.lease.upstream.last_activity_s = now_s
             if self.began_s is not None:
@@ -366,6 +368,7 @@
             last_event_s = now_s
             job.record_event(now_s)
             self._start_stream(head)
+            job.may_go_on = splitter.may_go_on
             if splitter.last_id is not None:
                 job.last_event_id = splitter.last_id
                 job.n_event_ids = n_ids_before + splitter.n_ids
--- a/src/pomelothread/gateway/events_of_stream.py
+++ b/src/pomelothread/gateway/events_of_stream.py
@@ -1,6 +1,7 @@
 """Splits a stream of server-sent events into whole events."""
 
 import re
+from collections.abc import Iterator
 
 # A larger event means that the upstream does not send an event stream.
 MAX_EVENT_BYTES = 1_048_576
@@ -8,6 +9,7 @@
 # Blocks of comment lines only, which upstreams may send as keep-alives.
 _COMMENTS_ONLY = re.compile(rb"(?:(?::[^\r\n]*)?\r?\n)*")
 _END_OF_EVENT = re.compile(rb"\r?\n\r?\n")
+_HAS_DATA = re.compile(rb"(?:^|\n)data[:\r\n]")
 # At most 18 digits, since ids are 64-bit integers.
 _EVENT_ID = re.compile(rb"(?:^|\n)id: ?(\d{1,18})\r?(?:\n|$)")
 
@@ -23,6 +25,9 @@
         Id of the last event that was returned.
     n_ids : int
         Number of events with an id that were returned.
+    may_go_on : bool
+        Whether another stream can go on after what was returned: the last event has an
+        id, or there is none yet.
 
     Examples
     --------
@@ -35,13 +40,14 @@
     (1, b'id: 2')
     """
 
-    __slots__ = ("_comments", "_unfinished", "last_id", "n_ids")
+    __slots__ = ("_comments", "_unfinished", "last_id", "may_go_on", "n_ids")
 
     def __init__(self) -> None:
         self._comments = b""
         self._unfinished = b""
         self.last_id: int | None = None
         self.n_ids = 0
+        self.may_go_on = True
 
     @property
     def remainder(self) -> bytes:
@@ -71,17 +77,34 @@
             self._comments += whole
             return b""
         whole, self._comments = self._comments + whole, b""
-        if whole:
-            ids = _EVENT_ID.findall(whole)
-            if ids:
-                self.last_id = int(ids[-1])
-                self.n_ids += len(ids)
+        for event in _split(whole):
+            found = _EVENT_ID.search(event)
+            if found is not None:
+                self.last_id = int(found[1])
+                self.n_ids += 1
+            if _HAS_DATA.search(event):
+                self.may_go_on = found is not None
         return whole
 
 
+def _split(events: bytes) -> Iterator[bytes]:
+    """Return the blocks of some whole events."""
+    start = 0
+    for match in _END_OF_EVENT.finditer(events):
+        yield events[start : match.end()]
+        start = match.end()
+
+
+def has_event(events: bytes) -> bool:
+    """Return whether any of some blocks holds data."""
+    return _HAS_DATA.search(events) is not None
+
+
 def first_event_id(events: bytes) -> int | None:
     r"""Return the id of the first of some complete events, or None without one.
 
+    A block without data, such as a comment or a time to wait, is no event.
+
     Examples
     --------
     >>> first_event_id(b": comment\n\nid: 3\ndata: a\n\nid: 4\n\n")
@@ -89,10 +112,8 @@
     >>> first_event_id(b"data: a\n\nid: 4\n\n") is None
     True
     """
-    start = 0
-    for match in _END_OF_EVENT.finditer(events):
-        event, start = events[start : match.end()], match.end()
-        if not _COMMENTS_ONLY.fullmatch(event):
+    for event in _split(events):
+        if _HAS_DATA.search(event):
             found = _EVENT_ID.search(event)
             return int(found[1]) if found else None
     return None
--- a/src/pomelothread/gateway/forwarding.py
+++ b/src/pomelothread/gateway/forwarding.py
@@ -300,7 +300,9 @@
     def _repeat_facts(self, job: Job, responder: Responder) -> RepeatFacts:
         return RepeatFacts(
             may_repeat=job.route.may_repeat,
-            may_resume=job.route.is_streaming and job.route.is_resumable,
+            may_resume=job.route.is_streaming
+            and job.route.is_resumable
+            and job.may_go_on,
             may_have_run=job.may_have_run,
             has_begun=responder.has_started,
             n_sent=job.n_sent,
--- a/src/pomelothread/gateway/jobs.py
+++ b/src/pomelothread/gateway/jobs.py
@@ -45,6 +45,8 @@
         Id of the last event of the stream that the caller has received.
     first_event_id : int or None
         Id of the first event of the stream that the caller has received.
+    may_go_on : bool
+        Whether another upstream can be asked for what follows the last event.
     n_event_ids : int
         Number of events with an id that the caller has received.
     first_head : ResponseHead or None
@@ -72,6 +74,7 @@
     may_have_run: bool = False
     last_event_id: int | None = None
     first_event_id: int | None = None
+    may_go_on: bool = True
     n_event_ids: int = 0
     first_head: ResponseHead | None = None
     first_event_s: float | None = None
