Take any block but comments and times to wait for an event

Change: only comments and `retry:` lines are passed over; any other block without an id ends a stream that goes on. The row that had another opinion on a block with an id and no data is changed with it.

--- a/src/pomelothread/gateway/events_of_stream.py
+++ b/src/pomelothread/gateway/events_of_stream.py
@@ -9,7 +9,8 @@
 # Blocks of comment lines only, which upstreams may send as keep-alives.
 _COMMENTS_ONLY = re.compile(rb"(?:(?::[^\r\n]*)?\r?\n)*")
 _END_OF_EVENT = re.compile(rb"\r?\n\r?\n")
-_HAS_DATA = re.compile(rb"(?:^|\n)data[:\r\n]")
+# Blocks that announce a time to wait; they are no events either.
+_NO_EVENT = re.compile(rb"(?:(?::[^\r\n]*|retry: ?\d+)?\r?\n)*")
 # At most 18 digits, since ids are 64-bit integers.
 _EVENT_ID = re.compile(rb"(?:^|\n)id: ?(\d{1,18})\r?(?:\n|$)")
 
@@ -82,7 +83,7 @@
             if found is not None:
                 self.last_id = int(found[1])
                 self.n_ids += 1
-            if _HAS_DATA.search(event):
+            if not _NO_EVENT.fullmatch(event):
                 self.may_go_on = found is not None
         return whole
 
@@ -96,14 +97,14 @@
 
 
 def has_event(events: bytes) -> bool:
-    """Return whether any of some blocks holds data."""
-    return _HAS_DATA.search(events) is not None
+    """Return whether any of some blocks is an event."""
+    return _NO_EVENT.fullmatch(events) is None
 
 
 def first_event_id(events: bytes) -> int | None:
     r"""Return the id of the first of some complete events, or None without one.
 
-    A block without data, such as a comment or a time to wait, is no event.
+    A block of comments and times to wait is no event.
 
     Examples
     --------
@@ -113,7 +114,7 @@
     True
     """
     for event in _split(events):
-        if _HAS_DATA.search(event):
+        if not _NO_EVENT.fullmatch(event):
             found = _EVENT_ID.search(event)
             return int(found[1]) if found else None
     return None
--- a/tests/test_streams_that_go_on.py
+++ b/tests/test_streams_that_go_on.py
@@ -17,13 +17,14 @@
     (b"retry: 3000\n\nid: 3\ndata: a\n\n", 3),
     (b"retry: 3000\n\n", None),
     (b": comment\nretry: 1\n\n: more\n\nid: 4\ndata\n\n", 4),
-    (b"event: x\nid: 9\n\nid: 5\ndata: a\n\n", 5),
+    (b"event: x\nid: 9\n\nid: 5\ndata: a\n\n", 9),
+    (b"HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\nid: 5\n\n", None),
     (b"data: a\n\nid: 4\ndata: b\n\n", None),
 ]
 
 
 @pytest.mark.parametrize(("events", "first_id"), BLOCKS)
-def test_a_block_without_data_is_no_event(events, first_id):
+def test_a_block_of_comments_and_times_to_wait_is_no_event(events, first_id):
     assert first_event_id(events) == first_id
 
 
