Bound what all responses buffer together

Cause: each response had its bound, 512 KiB of a body and 1 MiB of an event, and their number had none.

Change: one budget of 32 MiB for all, beyond 64 KiB of each response; the one that would exceed it is given up.

--- a/src/pomelothread/gateway/attempt.py
+++ b/src/pomelothread/gateway/attempt.py
@@ -25,6 +25,7 @@
 )
 from ..policy.stream_versions import Software
 from ..policy.upstream_speed import predict_first_event_s
+from .buffer_budget import BufferBudget
 from .dialect import Dialect, ResponseFacts
 from .events_of_stream import EventSplitter, first_event_id, has_event
 from .jobs import Job
@@ -107,6 +108,8 @@
         has shown that it does not crash for that reason.
     record_began : callable
         Called with the id of a stream and the software at which it begins or goes on.
+    budget : BufferBudget
+        Bounds what all attempts buffer together.
 
     Attributes
     ----------
@@ -125,8 +128,10 @@
     """
 
     __slots__ = (
+        "_budget",
         "_clock",
         "_dialect",
+        "_n_buffered_bytes",
         "_observe_sound",
         "_pool",
         "_queue",
@@ -161,7 +166,10 @@
         try_spend_retry: Callable[[], bool],
         observe_sound: Callable[[float], None],
         record_began: Callable[[str, Software], None],
+        budget: BufferBudget,
     ) -> None:
+        self._budget = budget
+        self._n_buffered_bytes = 0
         self._record_began = record_began
         self._observe_sound = observe_sound
         self._try_spend_retry = try_spend_retry
@@ -219,6 +227,7 @@
             exchange.send()
             return await self._read(exchange)
         finally:
+            self._budget.release(self._n_buffered_bytes)
             exchange.finish(self._pool, listing.address)
 
     async def _read(self, exchange: Exchange) -> AttemptEnd:
@@ -340,7 +349,7 @@
         n_ids_before = job.n_event_ids
         last_event_s = self.sent_s
         timeout_s = self._first_byte_timeout_s()
-        read_events = partial(_read_events, exchange, splitter)
+        read_events = partial(self._read_events, exchange, splitter)
         while True:
             events = await self._read_or_timeout(read_events, timeout_s)
             match events:
@@ -482,23 +491,33 @@
                     break
                 case ExchangeFault():
                     return part
+            if not self._may_buffer(len(body)):
+                return ExchangeFault.TOO_LARGE
         return bytes(body)
 
+    async def _read_events(
+        self, exchange: Exchange, splitter: EventSplitter
+    ) -> bytes | EndOfBody | ExchangeFault:
+        """Read until an event is complete, or until the body ends or fails.
 
-async def _read_events(
-    exchange: Exchange, splitter: EventSplitter
-) -> bytes | EndOfBody | ExchangeFault:
-    """Read until an event is complete, or until the body ends or fails.
-
-    Bytes of a partial event do not return, so they do not reset the idle timeout.
-    """
-    while True:
-        part = await exchange.read_body()
-        if not isinstance(part, bytes):
-            return part
-        events = splitter.feed(part)
-        if events or splitter.is_too_long:
-            return events
+        Bytes of a partial event do not return, so they do not reset the idle timeout.
+        """
+        while True:
+            part = await exchange.read_body()
+            if not isinstance(part, bytes):
+                return part
+            events = splitter.feed(part)
+            if not self._may_buffer(splitter.n_buffered_bytes):
+                return ExchangeFault.TOO_LARGE
+            if events or splitter.is_too_long:
+                return events
+
+    def _may_buffer(self, n_bytes: int) -> bool:
+        """Return whether the budget of all attempts has room for this one's bytes."""
+        if not self._budget.try_resize(self._n_buffered_bytes, n_bytes):
+            return False
+        self._n_buffered_bytes = n_bytes
+        return True
 
 
 def _ended_with_upstream() -> Broken:
--- a/src/pomelothread/gateway/events_of_stream.py
+++ b/src/pomelothread/gateway/events_of_stream.py
@@ -63,7 +63,12 @@
     @property
     def is_too_long(self) -> bool:
         """Whether more is buffered than `MAX_EVENT_BYTES`."""
-        return len(self._comments) + len(self._unfinished) > MAX_EVENT_BYTES
+        return self.n_buffered_bytes > MAX_EVENT_BYTES
+
+    @property
+    def n_buffered_bytes(self) -> int:
+        """Number of bytes that `feed` has not returned yet."""
+        return len(self._comments) + len(self._unfinished)
 
     def feed(self, data: bytes) -> bytes:
         """Add bytes and return, unchanged, all events that are complete now."""
--- a/src/pomelothread/gateway/forwarding.py
+++ b/src/pomelothread/gateway/forwarding.py
@@ -42,6 +42,7 @@
 )
 from .admission import Admission, convicted_part, convicted_request
 from .attempt import Attempt
+from .buffer_budget import BufferBudget
 from .dialect import CallerFacts, Dialect
 from .jobs import Job
 from .metrics import GatewayMetrics
@@ -113,6 +114,7 @@
         self._streams = streams
         self._clock = clock
         self._random = random_source
+        self.buffer_budget = BufferBudget()
         # Time limits of the requests that are open.
         self._open: set[asyncio.Timeout] = set()
         self._is_ending = False
@@ -200,6 +202,7 @@
                 partial(self._try_spend_retry, job, responder),
                 partial(self._part_crashes.observe_sound, job),
                 self._streams.record_began,
+                self.buffer_budget,
             )
             could_have_run = job.may_have_run
             self._log_sent(job, lease)
--- a/tests/test_upstreams_in_trouble.py
+++ b/tests/test_upstreams_in_trouble.py
@@ -11,6 +11,7 @@
 from pomelothread.addresses import parse_address
 from pomelothread.clock import SystemClock
 from pomelothread.gateway import attempt, process, supervision
+from pomelothread.gateway.buffer_budget import BufferBudget
 from pomelothread.gateway.events_of_stream import EventSplitter
 from pomelothread.gateway.feeds import FeedFault
 from pomelothread.gateway.peer_messages import PeerMessage
@@ -48,17 +49,17 @@
 
 
 @asynccontextmanager
-async def raw_rig(*scripts, service="desk", **options):
+async def raw_rig(*scripts, service="desk", entry=None, **options):
     """Run a gateway whose only upstream of a service sends scripted bytes."""
     engines, desks = (0, 1) if service == "engines" else (1, 0)
     async with (
         raw_server(*scripts) as server,
         gateway_rig(engines=engines, desks=desks, **options) as rig,
     ):
-        entry = next(iter(rig.upstreams.values())).store_entry()
+        listing = next(iter(rig.upstreams.values())).store_entry()
         address = server.url.removeprefix("http://").rstrip("/")
         changes = {"service": service, "address": address}
-        rig.store.put("keyed.servers", "raw", entry | changes)
+        rig.store.put("keyed.servers", "raw", listing | changes | (entry or {}))
         while rig.gateway.is_leaving("raw"):
             await asyncio.sleep(0.01)
         yield rig, server
@@ -117,6 +118,44 @@
         caller.writer.close()
 
 
+# Guards against many responses without end, each of which is within its own bound.
+@pytest.mark.parametrize(
+    ("service", "first", "again"),
+    [
+        ("engines", CHUNKED + chunk(b"id: 1\ndata: "), chunk(FILLER)),
+        ("engines", CHUNKED, chunk(b": " + FILLER + b"\n\n")),
+        ("desk", HEAD.replace(b"200", b"500") + b"\r\n", FILLER),
+        ("desk", HEAD + b"Content-Length: 999999999\r\n\r\n", FILLER),
+    ],
+    ids=["one event", "comments", "body of a failure", "length that is too long"],
+)
+async def test_what_all_responses_buffer_together_is_bounded(service, first, again):
+    n_requests, total_bytes = 6, 300_000
+    scripts = [endless(first, again)] * n_requests
+    entry = {"slots": n_requests}
+    async with raw_rig(*scripts, service=service, entry=entry) as (rig, _):
+        budget = BufferBudget(total_bytes)
+        rig.gateway._forwarder.buffer_budget = budget
+        callers = [await open_caller(rig.address) for _ in range(n_requests)]
+        target, tokens = ("/orders/", None)
+        if service == "engines":
+            target, tokens = ("/drafts/", TOKENS)
+        for caller in callers:
+            caller.send(target, tokens=tokens, request_id="r1", deadline_ms=5000)
+        answers = [await caller.reader.readuntil(b"\r\n\r\n") for caller in callers]
+        # Without the budget, all of them are read up to the bound of one response.
+        is_given_up = [b" 502 " in answer for answer in answers]
+        assert is_given_up.count(True) >= n_requests - 2
+        assert budget.n_bytes <= total_bytes
+        other = "/lookups/" if service == "engines" else "/drafts/"
+        tokens = TOKENS if other == "/drafts/" else None
+        assert (await rig.call(other, tokens=tokens)).status == 200
+        for caller in callers:
+            caller.writer.close()
+        while budget.n_bytes:
+            await asyncio.sleep(0.01)
+
+
 async def _read_tail(reader):
     """Read to the end or to a connection error; returns the last bytes."""
     tail = b""
