Close what the check of a killed upstream opened, and ask for no body's framing

Cause, found by reading the diff: a request that was cancelled during the check left its connection open, and responses that have no body (204, 304, HEAD) were checked like bodies without framing, each with a new connection.

Change: both; the order of a docstring; the search for common parts ends early without suspects.

--- a/src/pomelothread/gateway/attempt.py
+++ b/src/pomelothread/gateway/attempt.py
@@ -49,6 +49,7 @@
 # Maximum pause between events before a resumable stream is continued on another
 # upstream. Callers disconnect after two seconds.
 STREAM_IDLE_TIMEOUT_S = 1.2
+STATUSES_WITHOUT_BODY = (204, 304)
 # An upstream is alive if a new connection to it lasts for this long.
 ALIVE_AFTER_S = 0.02
 # Idle time after which a pooled connection is not reused. It is shorter for requests
@@ -240,7 +241,7 @@
         if isinstance(head, ExchangeFault):
             return _broken_by(head)
         self.status = head.status
-        self.is_framed = _has_framing(head)
+        self.is_framed = _has_framing(head, job.request.method)
         self.lease.upstream.last_activity_s = self._clock.monotonic_s()
         facts = self._dialect.read_response(head)
         self._observe_rate_limit(facts)
@@ -416,14 +417,17 @@
         connection = await self._pool.connect(address)
         if isinstance(connection, ExchangeFault):
             return False
-        # A process that ends may close its listening socket last, and resets then what
-        # it has not accepted.
-        await _with_timeout(connection.stream.until_closed(), ALIVE_AFTER_S)
-        if connection.stream.ended:
-            return False
-        self._pool.release(address, connection)
-        self.is_upstream_alive = True
-        return True
+        try:
+            # A process that ends may close its listening socket last, and resets then
+            # what it has not accepted.
+            await _with_timeout(connection.stream.until_closed(), ALIVE_AFTER_S)
+            self.is_upstream_alive = not connection.stream.ended
+        finally:
+            if self.is_upstream_alive:
+                self._pool.release(address, connection)
+            else:
+                connection.stream.close()
+        return self.is_upstream_alive
 
     def observe_sound_once(self, began_s: float) -> None:
         """Record that the upstream began to respond and did not crash."""
@@ -541,9 +545,11 @@
         return None
 
 
-def _has_framing(head: ResponseHead) -> bool:
-    """Return whether the head declares how the body is framed."""
+def _has_framing(head: ResponseHead, method: bytes) -> bool:
+    """Return whether the end of the body is known without the end of the connection."""
     return (
-        header(head.headers, b"content-length") is not None
+        method == b"HEAD"
+        or head.status in STATUSES_WITHOUT_BODY
+        or header(head.headers, b"content-length") is not None
         or header(head.headers, b"transfer-encoding") is not None
     )
--- a/src/pomelothread/gateway/buffer_budget.py
+++ b/src/pomelothread/gateway/buffer_budget.py
@@ -10,6 +10,11 @@
 class BufferBudget:
     """Bytes that responses hold, beyond `FREE_BYTES` of each.
 
+    Parameters
+    ----------
+    max_total_bytes : int
+        Maximum for all responses together.
+
     Examples
     --------
     >>> budget = BufferBudget(max_total_bytes=100_000)
@@ -20,11 +25,6 @@
     >>> budget.release(FREE_BYTES + 60_000)
     >>> budget.n_bytes
     0
-
-    Parameters
-    ----------
-    max_total_bytes : int
-        Maximum for all responses together.
     """
 
     __slots__ = ("_max_total_bytes", "n_bytes")
--- a/src/pomelothread/policy/crashing_parts.py
+++ b/src/pomelothread/policy/crashing_parts.py
@@ -454,11 +454,13 @@
         """
         crashes = self._crashes[part]
         starts = crashes.keys()
+        suspects = {name for start in starts for name in suspects_of.get(start, ())}
+        if not suspects:
+            return False
         explained: set[UpstreamStart] = set()
         for other in self._refused_from_s:
             if not self._crashes[other].keys() < starts:
                 explained |= self._crashes[other].keys()
-        suspects = {name for start in starts for name in suspects_of.get(start, ())}
         branches = (self._crashes[name].keys() for name in suspects)
         n_branches = 0
         for branch in sorted(branches, key=lambda b: (len(b), sorted(map(str, b)))):
--- a/tests/test_killed_upstreams.py
+++ b/tests/test_killed_upstreams.py
@@ -10,6 +10,7 @@
 
 import standins.unframed_server
 from pomelothread.gateway import attempt
+from pomelothread.http1.messages import ResponseHead
 from standins.platform import PlatformUpstream
 
 SCRIPT = Path(standins.unframed_server.__file__)
@@ -103,3 +104,21 @@
         await list_process(rig, service, port)
         answer = await rig.call(f"/{route}/1", tokens=tokens)
         assert (answer.status, answer.is_complete, answer.body) == (200, True, body)
+
+
+@pytest.mark.parametrize(
+    ("method", "status", "headers", "is_framed"),
+    [
+        (b"GET", 200, (), False),
+        (b"GET", 500, (), False),
+        (b"GET", 200, ((b"content-length", b"5"),), True),
+        (b"GET", 200, ((b"transfer-encoding", b"chunked"),), True),
+        (b"GET", 204, (), True),
+        (b"GET", 304, (), True),
+        (b"HEAD", 200, (), True),
+    ],
+)
+def test_a_response_that_has_no_body_needs_no_framing(
+    method, status, headers, is_framed
+):
+    assert attempt._has_framing(ResponseHead(status, headers), method) is is_framed
