Hold fewer bytes of each connection, and one notion of no event

With turns, all responses are read at the same time and each held what was divided; 150 streams of one endless event took 197 MB, 157 MB on.

Change: 8 KiB at a time are taken from a connection, so nothing has to be divided; all connections receive into one buffer and stop at 64 KiB unread; a partial event grows in place. Beside it, from reading the diff: comments and times to wait are one kind of block, held back until the next event (a stream that had sent only `retry:` relays it once, not twice, when it goes on); the certainty of an end has one name.

--- a/src/pomelothread/gateway/attempt.py
+++ b/src/pomelothread/gateway/attempt.py
@@ -27,7 +27,7 @@
 from ..policy.upstream_speed import predict_first_event_s
 from .buffer_budget import BufferBudget
 from .dialect import Dialect, ResponseFacts
-from .events_of_stream import EventSplitter, first_event_id, has_event
+from .events_of_stream import EventSplitter, first_event_id
 from .jobs import Job
 from .limit_log import log_limit_change
 from .queue import Lease, UpstreamQueue
@@ -362,10 +362,9 @@
                     return await self._finish_stream(splitter, head)
             if splitter.is_too_long:
                 return Broken("event larger than the limit")
-            if goes_on and has_event(events):
-                if not job.may_be_followed_by(first_event_id(events)):
-                    return Broken("resumed stream does not go on after the last event")
-                goes_on = False
+            if goes_on and not job.may_be_followed_by(first_event_id(events)):
+                return Broken("resumed stream does not go on after the last event")
+            goes_on = False
             now_s = self._clock.monotonic_s()
             self.lease.upstream.last_activity_s = now_s
             if self.began_s is not None:
@@ -429,6 +428,11 @@
                 connection.stream.close()
         return self.is_upstream_alive
 
+    @property
+    def has_certain_end(self) -> bool:
+        """Whether a response that was whole cannot have been ended by a crash."""
+        return self.is_framed or self.is_upstream_alive
+
     def observe_sound_once(self, began_s: float) -> None:
         """Record that the upstream began to respond and did not crash."""
         if not self.is_known_sound:
--- a/src/pomelothread/gateway/buffer_budget.py
+++ b/src/pomelothread/gateway/buffer_budget.py
@@ -2,8 +2,7 @@
 
 # Part of each response that does not count, so that small responses are never refused.
 FREE_BYTES = 64 * 1024
-# Maximum of what counts. With the buffers of the connections, a gateway stays below the
-# memory of the smallest machine that it runs on.
+# Maximum of what counts, beside the buffers of the connections.
 MAX_TOTAL_BYTES = 32 * 1024 * 1024
 
 
--- a/src/pomelothread/gateway/events_of_stream.py
+++ b/src/pomelothread/gateway/events_of_stream.py
@@ -6,11 +6,9 @@
 # A larger event means that the upstream does not send an event stream.
 MAX_EVENT_BYTES = 1_048_576
 
-# Blocks of comment lines only, which upstreams may send as keep-alives.
-_COMMENTS_ONLY = re.compile(rb"(?:(?::[^\r\n]*)?\r?\n)*")
-_END_OF_EVENT = re.compile(rb"\r?\n\r?\n")
-# Blocks that announce a time to wait; they are no events either.
+# Blocks of comments, which upstreams may send as keep-alives, and of times to wait.
 _NO_EVENT = re.compile(rb"(?:(?::[^\r\n]*|retry: ?\d+)?\r?\n)*")
+_END_OF_EVENT = re.compile(rb"\r?\n\r?\n")
 # At most 18 digits, since ids are 64-bit integers.
 _EVENT_ID = re.compile(rb"(?:^|\n)id: ?(\d{1,18})\r?(?:\n|$)")
 
@@ -18,7 +16,7 @@
 class EventSplitter:
     r"""Buffers bytes of a stream until an event is complete.
 
-    Comments between events are returned together with the event that follows.
+    Comments and times to wait are returned together with the event that follows.
 
     Attributes
     ----------
@@ -41,11 +39,11 @@
     (1, b'id: 2')
     """
 
-    __slots__ = ("_comments", "_unfinished", "last_id", "may_go_on", "n_ids")
+    __slots__ = ("_held_back", "_unfinished", "last_id", "may_go_on", "n_ids")
 
     def __init__(self) -> None:
-        self._comments = b""
-        self._unfinished = b""
+        self._held_back = bytearray()
+        self._unfinished = bytearray()
         self.last_id: int | None = None
         self.n_ids = 0
         self.may_go_on = True
@@ -53,7 +51,7 @@
     @property
     def remainder(self) -> bytes:
         """Bytes that `feed` has not returned yet."""
-        return self._comments + self._unfinished
+        return bytes(self._held_back + self._unfinished)
 
     @property
     def has_partial_event(self) -> bool:
@@ -68,21 +66,23 @@
     @property
     def n_buffered_bytes(self) -> int:
         """Number of bytes that `feed` has not returned yet."""
-        return len(self._comments) + len(self._unfinished)
+        return len(self._held_back) + len(self._unfinished)
 
     def feed(self, data: bytes) -> bytes:
         """Add bytes and return, unchanged, all events that are complete now."""
         # The last three bytes may be the beginning of an event's delimiter.
         search_from = max(0, len(self._unfinished) - 3)
-        data = self._unfinished + data
+        self._unfinished += data
         end = 0
-        for match in _END_OF_EVENT.finditer(data, search_from):
+        for match in _END_OF_EVENT.finditer(self._unfinished, search_from):
             end = match.end()
-        whole, self._unfinished = data[:end], data[end:]
-        if _COMMENTS_ONLY.fullmatch(whole):
-            self._comments += whole
+        whole = bytes(self._unfinished[:end])
+        del self._unfinished[:end]
+        if _NO_EVENT.fullmatch(whole):
+            self._held_back += whole
             return b""
-        whole, self._comments = self._comments + whole, b""
+        whole = bytes(self._held_back) + whole
+        self._held_back.clear()
         for event in _split(whole):
             found = _EVENT_ID.search(event)
             if found is not None:
@@ -101,11 +101,6 @@
         start = match.end()
 
 
-def has_event(events: bytes) -> bool:
-    """Return whether any of some blocks is an event."""
-    return _NO_EVENT.fullmatch(events) is None
-
-
 def first_event_id(events: bytes) -> int | None:
     r"""Return the id of the first of some complete events, or None without one.
 
--- a/src/pomelothread/gateway/upstream_results.py
+++ b/src/pomelothread/gateway/upstream_results.py
@@ -136,7 +136,7 @@
         return probe is not None and await asyncio.shield(probe)
 
     def _record_whole_response(self, attempt: Attempt, now_s: float) -> None:
-        if attempt.is_framed or attempt.is_upstream_alive:
+        if attempt.has_certain_end:
             self._crashes.observe_served(attempt.job, attempt.sent_s)
             attempt.observe_sound_once(attempt.began_s or now_s)
         elif not attempt.is_known_sound:
--- a/src/pomelothread/http1/byte_stream.py
+++ b/src/pomelothread/http1/byte_stream.py
@@ -4,8 +4,10 @@
 import socket
 from typing import cast
 
-# Reading pauses above this, so that a fast sender cannot fill the memory.
-MAX_UNREAD_BYTES = 256 * 1024
+# Reading pauses above this, so that many fast senders cannot fill the memory.
+MAX_UNREAD_BYTES = 64 * 1024
+# All connections receive into one buffer, since each copies from it at once.
+_received = memoryview(bytearray(64 * 1024))
 
 # The kernel ends a connection whose peer acknowledges nothing for this long. A
 # network partition or a power failure ends no connection by itself.
@@ -15,7 +17,7 @@
 KEEP_ALIVE_PROBES = 2
 
 
-class ByteStream(asyncio.Protocol):
+class ByteStream(asyncio.BufferedProtocol):
     """A TCP connection with a buffer of received bytes.
 
     Only one task may read at a time. No method raises when the peer disconnects:
@@ -52,7 +54,15 @@
         if sock is not None and sock.family == socket.AF_INET:
             _set_options(sock)
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return where the event loop writes what it receives."""
+        return _received
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Copy what has been received."""
+        self.data_received(_received[:nbytes])
+
+    def data_received(self, data: bytes | memoryview) -> None:
         """Buffer received bytes until they are taken."""
         self._unread += data
         if len(self._unread) > MAX_UNREAD_BYTES and not self._is_paused:
@@ -92,11 +102,17 @@
         """Whether written bytes have not reached the kernel yet."""
         return self._open_transport.get_write_buffer_size() > 0
 
-    def take(self) -> bytes:
-        """Return and clear the buffered bytes, of which there may be none."""
-        data = bytes(self._unread)
-        self._unread.clear()
-        if self._is_paused:
+    def take(self, max_bytes: int | None = None) -> bytes:
+        """Remove and return buffered bytes, of which there may be none.
+
+        Parameters
+        ----------
+        max_bytes : int or None
+            Maximum number of bytes; None for all.
+        """
+        data = bytes(self._unread[:max_bytes])
+        del self._unread[: len(data)]
+        if self._is_paused and len(self._unread) <= MAX_UNREAD_BYTES:
             self._is_paused = False
             self._open_transport.resume_reading()
         return data
--- a/src/pomelothread/http1/client.py
+++ b/src/pomelothread/http1/client.py
@@ -15,7 +15,7 @@
 from ..clock import Clock
 from .byte_stream import ByteStream
 from .messages import Headers, Request, ResponseHead, header
-from .reading_cost import PARTS_PER_TURN, ReadingCost
+from .reading_cost import PARTS_PER_TURN, READ_BYTES, ReadingCost
 
 # Timeout of a new connection. The round trip between regions takes 60 ms. A lost
 # SYN is sent again after 1 s only; by then, another upstream is the better choice.
@@ -30,8 +30,6 @@
 # the largest body of one of them.
 MAX_LATE_RESPONSES = 3
 MAX_LATE_BODY_BYTES = 1_048_576
-# Parts of a body are joined, and divided, to about this size.
-MAX_PART_BYTES = 8 * 1024
 # Responses with status 1xx that are accepted before the final response.
 MAX_INFORMATIONAL = 8
 
@@ -184,10 +182,10 @@
     __slots__ = (
         "_connection",
         "_cost",
+        "_end",
         "_head",
         "_is_response_to_us",
         "_n_informational",
-        "_next",
         "_protocol",
         "_request",
         "is_complete",
@@ -208,8 +206,8 @@
         self._head: ResponseHead | None = None
         self._n_informational = 0
         self._cost = ReadingCost()
-        # What has been read of the response and not been returned yet.
-        self._next: bytes | h11.EndOfMessage = b""
+        # End of the body, if it was found while its last parts were joined.
+        self._end: h11.EndOfMessage | None = None
         self.is_complete = False
 
     @property
@@ -258,14 +256,11 @@
             `EndOfBody` only if the body is complete according to its framing.
         """
         await self._cost.yield_if_due()
-        event: object = self._next
-        self._next = b""
-        if event == b"":
-            event = await self._next_event()
+        event = self._end or await self._next_event()
         match event:
             case ExchangeFault():
                 return event
-            case bytes(data) | h11.Data(data=data):
+            case h11.Data(data=data):
                 return self._join(bytes(data))
             case h11.EndOfMessage():
                 self.is_complete = True
@@ -274,29 +269,25 @@
                 return ExchangeFault.MALFORMED
 
     def _join(self, data: bytes) -> bytes | ExchangeFault:
-        """Join a part with those that have arrived, and keep what is too much."""
+        """Join a part of the body with those that have arrived after it."""
         parts, n_bytes = [data], len(data)
-        while n_bytes < MAX_PART_BYTES and len(parts) < PARTS_PER_TURN:
+        while n_bytes < READ_BYTES and len(parts) < PARTS_PER_TURN:
             try:
                 event = self._protocol.next_event()
             except h11.RemoteProtocolError:
                 # Found again by the next read.
                 break
-            if isinstance(event, h11.Data):
-                self._cost.add(len(event.data))
-                if self._cost.is_fragmented:
-                    return ExchangeFault.FRAGMENTED
-                parts.append(bytes(event.data))
-                n_bytes += len(event.data)
-                continue
-            if isinstance(event, h11.EndOfMessage):
-                self._next = event
-            break
-        joined = b"".join(parts)
-        if n_bytes > MAX_PART_BYTES:
-            joined, self._next = joined[:MAX_PART_BYTES], joined[MAX_PART_BYTES:]
-        self._cost.add_to_turn(len(joined))
-        return joined
+            if not isinstance(event, h11.Data):
+                if isinstance(event, h11.EndOfMessage):
+                    self._end = event
+                break
+            self._cost.add(len(event.data))
+            parts.append(bytes(event.data))
+            n_bytes += len(event.data)
+        self._cost.add_to_turn(n_bytes)
+        if self._cost.is_fragmented:
+            return ExchangeFault.FRAGMENTED
+        return b"".join(parts)
 
     async def read_whole(self, max_bytes: int) -> tuple[int, bytes] | ExchangeFault:
         """Wait for the whole response.
@@ -409,7 +400,7 @@
                     continue
                 await stream.readable()
             if stream.has_unread:
-                self._receive(stream.take())
+                self._receive(stream.take(READ_BYTES))
 
     def _receive(self, data: bytes) -> None:
         if data or not self._protocol.trailing_data[1]:
--- a/src/pomelothread/http1/reading_cost.py
+++ b/src/pomelothread/http1/reading_cost.py
@@ -6,6 +6,9 @@
 
 import asyncio
 
+# Bytes that the protocol library is given at once, and the size to which tiny parts of
+# a body are joined.
+READ_BYTES = 8 * 1024
 # Parts and bytes that are read before other tasks run.
 PARTS_PER_TURN = 32
 BYTES_PER_TURN = 32 * 1024
--- a/src/pomelothread/http1/server.py
+++ b/src/pomelothread/http1/server.py
@@ -8,7 +8,7 @@
 
 from .byte_stream import ByteStream
 from .messages import Headers, Request
-from .reading_cost import ReadingCost
+from .reading_cost import READ_BYTES, ReadingCost
 
 # How long input is still read and discarded after a request has been rejected. If
 # the connection were closed at once, the caller's further writes would cause a
@@ -234,6 +234,7 @@
             if isinstance(event, h11.Data):
                 body += event.data
                 cost.add(len(event.data))
+                cost.add_to_turn(len(event.data))
                 if len(body) > limits.max_body_bytes or cost.is_fragmented:
                     await self._reject(responder, 413)
                     return None
@@ -254,7 +255,7 @@
                     return None
                 await self._stream.readable()
             if self._stream.has_unread:
-                protocol.receive_data(self._stream.take())
+                protocol.receive_data(self._stream.take(READ_BYTES))
 
     async def _answer(self, request: Request, responder: Responder) -> None:
         """Run the handler, and cancel it when the caller disconnects."""
