Say what is refuted in few bytes, and give the sliding window its module

Cause, found by reading the diff: a message could name up to 144 refuted crashes and 20 refunds, more than a datagram should hold; a crash that was refuted while it was being stored stayed in the store; reading the record of versions changed the state of the reader; the delay of trials was written twice; policy/quotas.py had two jobs.

Change: only what has just been refuted is told; refunds of a quarter of a second are one row, ten rows in a message; a record that names refuted crashes is corrected when it is read; the window is policy/sliding_window.py.

Measured: the new test of the record fails without the correction; what the changed tests assert is the same or more.

--- a/src/pomelothread/gateway/crashes.py
+++ b/src/pomelothread/gateway/crashes.py
@@ -102,46 +102,57 @@
 
     def observe_served(self, job: Job, sent_s: float) -> None:
         """Record that a request was served in whole, and share what that refutes."""
-        if not self._guard.observe_served(job.fingerprint, sent_s):
+        refuted = self._guard.observe_served(job.fingerprint, sent_s)
+        if not refuted:
             return
-        refuted = self._guard.refuted_of(job.fingerprint)
         log_event(
             _log,
             Event.CRASHES_REFUTED,
             fingerprint=job.fingerprint,
             request_id=job.request_id,
         )
-        self._unsent_refuted[job.fingerprint] = refuted
+        self._tell_refuted(job.fingerprint, refuted)
         if job.fingerprint in self._stored:
             self._start(self._write(job.fingerprint))
 
+    def _tell_refuted(
+        self, fingerprint: str, refuted: frozenset[UpstreamStart]
+    ) -> None:
+        known = self._unsent_refuted.get(fingerprint, frozenset())
+        self._unsent_refuted[fingerprint] = known | refuted
+
     def _start(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.ensure_future(work)
         self._write_tasks.add(task)
         task.add_done_callback(self._write_tasks.discard)
 
     def apply(self, record: KeyedRecord) -> None:
-        """Merge a record of the store."""
-        now_s = self._clock.monotonic_s()
+        """Merge a record of the store, and correct it if it names refuted crashes."""
+        if self._merge_stored(record):
+            self._start(self._write(record.key, self.rewrite_delay_s()))
+
+    def _merge_stored(self, record: KeyedRecord) -> bool:
+        """Merge a record of the store; return whether it names refuted crashes."""
         if record.value is None:
             # Another gateway has seen the request served.
             refuted = self._stored.pop(record.key, frozenset())
             self._guard.refute(record.key, refuted)
-            return
+            return False
         try:
             texts = msgspec.json.decode(record.value, type=list[str])
         except UNDECODABLE as error:
             log_event(_log, Event.FEED_MALFORMED, feed="crashes", detail=error)
-            return
+            return False
         starts = frozenset(map(_decode_start, texts))
         self._stored[record.key] = starts
-        self._guard.merge(record.key, starts, now_s)
+        merged = self._guard.merge(record.key, starts, self._clock.monotonic_s())
+        return bool(merged.refuted)
 
     def apply_all(self, records: tuple[KeyedRecord, ...]) -> None:
         """Merge all records of the store, and write those that it has lost."""
         self._stored.clear()
         for record in records:
-            self.apply(record)
+            self._merge_stored(record)
         missing = [
             f for f in self._guard.fingerprints() if self.missing_value(f) is not None
         ]
@@ -176,13 +187,12 @@
         """Merge crashes that a peer reports, and those that it knows to be refuted."""
         now_s = self._clock.monotonic_s()
         for fingerprint, texts in refuted.items():
-            self._guard.refute(fingerprint, map(_decode_start, texts))
+            self._guard.refute(fingerprint, [_decode_start(text) for text in texts])
         for fingerprint, texts in crashes.items():
-            starts = map(_decode_start, texts)
-            if self._guard.merge(fingerprint, starts, now_s).has_refuted:
+            merged = self._guard.merge(fingerprint, map(_decode_start, texts), now_s)
+            if merged.refuted:
                 # The peer has missed the message.
-                known = self._guard.refuted_of(fingerprint)
-                self._unsent_refuted[fingerprint] = known
+                self._tell_refuted(fingerprint, merged.refuted)
 
     @property
     def has_unreported(self) -> bool:
@@ -202,9 +212,9 @@
         newest = self._guard.newest(MAX_FINGERPRINTS)
         return {name: _encode_starts(starts) for name, starts in newest.items()}
 
-    async def _write(self, fingerprint: str) -> None:
+    async def _write(self, fingerprint: str, delay_s: float = 0.0) -> None:
         """Store what is known of a fingerprint, unless the store has it."""
-        await self._clock.sleep(STORE_DELAY_S)
+        await self._clock.sleep(STORE_DELAY_S + delay_s)
         value = self.missing_value(fingerprint)
         if value is not None and not await self._append(fingerprint, value):
             # Peers have it from the message; it is lost only if all processes stop
--- a/src/pomelothread/gateway/peer_messages.py
+++ b/src/pomelothread/gateway/peer_messages.py
@@ -12,7 +12,7 @@
 # Maximum number of leaving upstreams that one message names.
 MAX_LEAVING = 16
 # Maximum number of refunds that one message names.
-MAX_REFUNDS = 20
+MAX_REFUNDS = 10
 # Maximum number of limits of upstreams that one message names.
 MAX_LIMITS = 4
 
--- a/src/pomelothread/gateway/version_history.py
+++ b/src/pomelothread/gateway/version_history.py
@@ -136,6 +136,7 @@
         record = await self._read()
         if record is None:
             return False
+        self._stored, self._stored_epoch = record.software, record.epoch
         self._versions.merge_past(record.software, self._clock.monotonic_s())
         self._is_past_known = record.is_current
         self._was_read.set()
@@ -150,12 +151,12 @@
 
     async def _update(self) -> bool:
         """Write the record unless another gateway has; return whether it is stored."""
-        known_before = self._stored
         record = await self._read()
         if record is None:
             return False
         # Another gateway may have seen a version that this one has not listed yet.
-        news = record.software - known_before
+        news = record.software - self._stored
+        self._stored, self._stored_epoch = record.software, record.epoch
         self._versions.merge_past(news, self._clock.monotonic_s())
         listed = self._versions.listed_lately()
         if record.is_current and record.software == listed:
@@ -182,8 +183,7 @@
             case _:
                 # The followers log each outage of the store.
                 return None
-        found = _Record(frozenset(), is_current=True)
-        epoch = records.epoch
+        found = _Record(frozenset(), records.epoch, is_current=True)
         for item in records.records:
             if item.key != RECORD_KEY or item.value is None:
                 continue
@@ -191,24 +191,24 @@
                 stored = msgspec.json.decode(item.value, type=_StoredVersions)
             except UNDECODABLE as error:
                 log_event(_log, Event.FEED_MALFORMED, feed="versions", detail=error)
-                found = _Record(frozenset(), is_current=False)
+                found = _Record(frozenset(), records.epoch, is_current=False)
                 continue
             # A record that the store has brought back from a copy may lack versions.
             is_old = self._store_epoch.is_over(stored.epoch)
             software = frozenset(Software(*row) for row in stored.software)
-            found, epoch = _Record(software, not is_old), stored.epoch
-        self._stored, self._stored_epoch = found.software, epoch
+            found = _Record(software, stored.epoch, not is_old)
         return found
 
 
 @dataclass(frozen=True, slots=True)
 class _Record:
-    """Software that the store names, and whether none can be missing.
+    """Software that the store names, since which epoch, and whether none can lack.
 
-    Without any record nothing is missing: the fleet has just been set up.
+    Without any record nothing lacks: the fleet has just been set up.
     """
 
     software: frozenset[Software]
+    epoch: int | None
     is_current: bool
 
 
--- a/src/pomelothread/policy/crash_guard.py
+++ b/src/pomelothread/policy/crash_guard.py
@@ -13,15 +13,14 @@
 import hashlib
 import math
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 
 from .crashing_parts import (
     CRASH_CONFIRMATION_S,
-    FIRST_TRIAL_S,
     MAX_FAILED_TRIALS,
-    TRIAL_DELAY_FACTOR,
     Verdict,
+    trial_delay_s,
 )
 from .departures import UpstreamStart
 
@@ -112,8 +111,8 @@
     ...     _ = guard.record_refused_connection(start, now_s=number + 0.5)
     >>> guard.verdict("f", now_s=3.0)
     <Verdict.REFUSED: ...>
-    >>> guard.observe_served("f", sent_s=3.0)
-    True
+    >>> len(guard.observe_served("f", sent_s=3.0))
+    3
     >>> guard.verdict("f", now_s=4.0)
     <Verdict.ALLOWED: ...>
     """
@@ -205,20 +204,19 @@
         """
         suspicion = self._suspicions.pop(fingerprint, None) or _Suspicion()
         self._suspicions[fingerprint] = suspicion
-        is_new = has_refuted = False
-        for start in starts:
-            if start in suspicion.refuted:
-                has_refuted = True
-            elif (
-                start not in suspicion.crashed and len(suspicion.crashed) < MAX_CRASHES
-            ):
-                suspicion.crashed[start] = now_s
-                is_new = True
+        named = frozenset(starts)
+        refuted = named & suspicion.refuted.keys()
+        n_before = len(suspicion.crashed)
+        for start in named - refuted:
+            if len(suspicion.crashed) < MAX_CRASHES:
+                suspicion.crashed.setdefault(start, now_s)
         if len(self._suspicions) > MAX_FINGERPRINTS:
             self._suspicions.popitem(last=False)
-        return Merged(is_new, has_refuted)
+        return Merged(len(suspicion.crashed) > n_before, refuted)
 
-    def observe_served(self, fingerprint: str, sent_s: float) -> bool:
+    def observe_served(
+        self, fingerprint: str, sent_s: float
+    ) -> frozenset[UpstreamStart]:
         """Record that a request was served in whole.
 
         Parameters
@@ -230,18 +228,20 @@
 
         Returns
         -------
-        bool
-            Whether that refutes any crash.
+        frozenset of UpstreamStart
+            Crashes that this refutes.
         """
         suspicion = self._suspicions.get(fingerprint)
         if suspicion is None:
-            return False
-        known = [s for s, known_s in suspicion.crashed.items() if known_s <= sent_s]
+            return frozenset()
+        known = frozenset(s for s, at_s in suspicion.crashed.items() if at_s <= sent_s)
         self.refute(fingerprint, known)
-        return bool(known)
+        return known
 
-    def refute(self, fingerprint: str, starts: Iterable[UpstreamStart]) -> None:
+    def refute(self, fingerprint: str, starts: Collection[UpstreamStart]) -> None:
         """Drop crashes after which some instance has seen the request served."""
+        if not starts:
+            return
         suspicion = self._suspicions.setdefault(fingerprint, _Suspicion())
         for start in starts:
             suspicion.crashed.pop(start, None)
@@ -265,7 +265,7 @@
         return frozenset(suspicion.refuted) if suspicion else frozenset()
 
     def fingerprints(self) -> list[str]:
-        """Return the fingerprints of all requests with a known crash."""
+        """Return the fingerprints with a known or a refuted crash."""
         return list(self._suspicions)
 
     def newest(self, n_most: int) -> dict[str, frozenset[UpstreamStart]]:
@@ -288,19 +288,20 @@
     ----------
     is_new : bool
         Whether any was not known.
-    has_refuted : bool
-        Whether any has been refuted, so that whoever names it has to be told.
+    refuted : frozenset of UpstreamStart
+        Those that have been refuted, of which whoever names them has to be told.
     """
 
     is_new: bool
-    has_refuted: bool
+    refuted: frozenset[UpstreamStart]
 
 
 def _is_trial_due(suspicion: _Suspicion, now_s: float) -> bool:
     # Crashes beyond those that are needed were those of trials. Counting them in the
     # evidence keeps the count over restarts.
     n_failed = suspicion.n_crashes - N_CRASHES_TO_REFUSE
-    if max(n_failed, suspicion.n_trials) >= MAX_FAILED_TRIALS:
+    if suspicion.n_trials >= MAX_FAILED_TRIALS:
+        # They ended neither in a crash nor in a whole response.
         return False
     last_s = max(*suspicion.crashed.values(), suspicion.tried_s)
-    return now_s - last_s >= FIRST_TRIAL_S * TRIAL_DELAY_FACTOR**n_failed
+    return now_s - last_s >= trial_delay_s(n_failed)
--- a/src/pomelothread/policy/crashing_parts.py
+++ b/src/pomelothread/policy/crashing_parts.py
@@ -506,10 +506,8 @@
         # A crash long after the one before was that of a trial. Counting them in the
         # evidence, not here, keeps the count over restarts.
         n_failed = sum(b - a >= FIRST_TRIAL_S for a, b in itertools.pairwise(times_s))
-        if n_failed >= MAX_FAILED_TRIALS:
-            return False
         last_s = max(times_s[-1], self._tried_s.get(part, -math.inf))
-        return now_s - last_s >= FIRST_TRIAL_S * TRIAL_DELAY_FACTOR**n_failed
+        return now_s - last_s >= trial_delay_s(n_failed)
 
     def _drop_expired(self, now_s: float) -> None:
         for part, crashes in list(self._crashes.items()):
@@ -531,6 +529,20 @@
         self._tried_s.pop(part, None)
 
 
+def trial_delay_s(n_failed: int) -> float:
+    """Return the seconds without a crash until a trial is sent.
+
+    Parameters
+    ----------
+    n_failed : int
+        Number of trials that ended in a crash; after `MAX_FAILED_TRIALS` the delay is
+        infinite.
+    """
+    if n_failed >= MAX_FAILED_TRIALS:
+        return math.inf
+    return FIRST_TRIAL_S * TRIAL_DELAY_FACTOR**n_failed
+
+
 def _span_s(crashes: Iterable[PartCrash]) -> float:
     times_s = [crash.crashed_s for crash in crashes]
     return max(times_s) - min(times_s)
--- a/src/pomelothread/policy/quotas.py
+++ b/src/pomelothread/policy/quotas.py
@@ -11,7 +11,6 @@
 cannot be read, its limits grow from 0 during the first window.
 """
 
-import bisect
 import math
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -20,6 +19,7 @@
 import msgspec
 
 from ..undecodable import MAX_INTEGER
+from .sliding_window import SLOT_S, SlidingWindow
 
 # A peer that has sent no report for this long is assumed to use its equal share. Peers
 # send one at least once a second.
@@ -32,8 +32,6 @@
 # for this long. One instance of each cell, its representative, sends them once a
 # second.
 OTHER_CELLS_SILENT_AFTER_S = 5.0
-# Resolution of the sliding window in seconds.
-SLOT_S = 0.25
 # Shares of the tolerance that the limits include. The rest covers requests that
 # instances admit before they receive each other's reports, at least one for each
 # instance, and requests that are missing from the notes after a restart.
@@ -99,77 +97,12 @@
     epoch: Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)] = 0
 
 
-class _Window:
-    """Units admitted in a sliding window, with a resolution of `SLOT_S`."""
-
-    __slots__ = ("_length_s", "_slots", "total")
-
-    def __init__(self, length_s: float) -> None:
-        self._length_s = length_s
-        self._slots: list[tuple[float, float]] = []
-        self.total = 0.0
-
-    def add(self, units: float, now_s: float) -> None:
-        if self._slots and now_s - self._slots[-1][0] < SLOT_S:
-            start_s, before = self._slots[-1]
-            self._slots[-1] = (start_s, before + units)
-        else:
-            self._slots.append((now_s, units))
-        self.total += units
-
-    def add_past(self, units: float, admitted_s: float) -> None:
-        bisect.insort(self._slots, (admitted_s, units))
-        self.total += units
-
-    def charged_in_slot(self, charged_s: float) -> float:
-        """Return the units in the slot of a charge; 0.0 if it has expired."""
-        position = bisect.bisect_right(self._slots, (charged_s, math.inf)) - 1
-        if position < 0 or charged_s - self._slots[position][0] >= SLOT_S:
-            return 0.0
-        return self._slots[position][1]
-
-    def remove(self, charged_s: float, units: float) -> None:
-        """Remove units that were charged at some time and are not used.
-
-        They are taken from the slot of the charge and, if it lacks them, from the ones
-        before, which expire sooner. Units that have expired are not removed again.
-        """
-        position = bisect.bisect_right(self._slots, (charged_s, math.inf)) - 1
-        while position >= 0 and units > 0.0:
-            start_s, charged = self._slots[position]
-            removed = min(units, max(0.0, charged))
-            self._slots[position] = (start_s, charged - removed)
-            self.total -= removed
-            units -= removed
-            position -= 1
-
-    def expire(self, now_s: float) -> None:
-        n_expired = 0
-        for start_s, units in self._slots:
-            if now_s - start_s <= self._length_s + SLOT_S:
-                break
-            self.total -= units
-            n_expired += 1
-        del self._slots[:n_expired]
-
-    def by_age(self, now_s: float) -> list[tuple[float, float]]:
-        return [(round(now_s - start_s, 2), units) for start_s, units in self._slots]
-
-    def seconds_until(self, excess: float, now_s: float) -> float:
-        """Return the seconds until at least `excess` units have expired."""
-        for start_s, units in self._slots:
-            excess -= units
-            if excess <= 0:
-                return max(0.0, start_s + self._length_s + SLOT_S - now_s)
-        return self._length_s
-
-
 @dataclass(slots=True)
 class _Quota:
     rate_per_s: float
     burst_units: float
-    window: _Window
-    own_window: _Window
+    window: SlidingWindow
+    own_window: SlidingWindow
     own_used: float = 0.0
     noted_used: float = 0.0
     # Units admitted since the start of this process by its own cell and by others.
@@ -241,7 +174,7 @@
         # Time since which the charges of each peer are counted.
         self._counted_from_s_by_peer: dict[str, float] = {}
         # Refunds that peers have not been told of, by organisation and time of the
-        # charge.
+        # charge in steps of `SLOT_S`.
         self._untold_refunds: dict[tuple[str, float], float] = {}
         self._reported_s = started_s
 
@@ -256,7 +189,10 @@
         if quota is None:
             window_s = self._tolerance.window_s
             self._quotas[organisation] = _Quota(
-                rate_per_s, burst_units, _Window(window_s), _Window(window_s)
+                rate_per_s,
+                burst_units,
+                SlidingWindow(window_s),
+                SlidingWindow(window_s),
             )
             return
         quota.rate_per_s = rate_per_s
@@ -331,8 +267,9 @@
             quota.cell_used -= units
             return
         # Peers have booked the charge. A lower sum would cancel other charges, which
-        # expire later.
-        key = organisation, charged_s
+        # expire later. Refunds of about the same time are told as one, with the
+        # earliest time.
+        key = organisation, charged_s // SLOT_S * SLOT_S
         self._untold_refunds[key] = self._untold_refunds.get(key, 0.0) + units
 
     def mark_reported(self, now_s: float) -> None:
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -162,7 +162,7 @@
 @pytest.mark.parametrize(("sent_s", "verdict"), [(0.5, REFUSED), (1.5, ALLOWED)])
 def test_only_a_request_that_was_sent_after_the_crashes_refutes_them(sent_s, verdict):
     guard = crashed()
-    assert guard.observe_served("f", sent_s) is (verdict is ALLOWED)
+    assert bool(guard.observe_served("f", sent_s)) is (verdict is ALLOWED)
     assert guard.verdict("f", 2.0) is verdict
 
 
@@ -171,7 +171,7 @@
     starts = guard.crashes_of("f")
     guard.observe_served("f", 2.0)
     merged = guard.merge("f", starts, 3.0)
-    assert (merged.is_new, merged.has_refuted) == (False, True)
+    assert (merged.is_new, merged.refuted) == (False, starts)
     assert guard.verdict("f", 3.0) is ALLOWED
     # Told before the crash itself.
     other = CrashGuard()
@@ -248,3 +248,36 @@
     # The store has brought it back from a copy: it has to be removed again.
     reporter.apply(KeyedRecord("f", b'["a@1","b@1","c@1"]'))
     assert reporter.missing_value("f") == b""
+
+
+# Guards against a crash that is refuted while it is being stored, and stays there.
+async def test_a_refuted_crash_that_was_stored_meanwhile_is_removed():
+    clock = ManualClock(datetime(2026, 3, 1, tzinfo=UTC))
+    stored = []
+
+    async def append(key, value):
+        stored.append((key, value))
+        return True
+
+    guard = CrashGuard()
+    reporter = CrashReporter(guard, append, clock)
+    guard.refute("f", [UpstreamStart("a", 1)])
+    reporter.apply(KeyedRecord("f", b'["a@1"]'))
+    await asyncio.sleep(0)
+    clock.advance(1.0)
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    assert stored == [("f", b"")]
+
+
+@pytest.mark.parametrize("is_framed", [True, False])
+async def test_a_whole_response_of_a_living_upstream_refutes_crashes(is_framed):
+    async with gateway_rig(engines=1) as rig:
+        if not is_framed:
+            rig.upstreams["engine-0"].fault = UpstreamFault.UNFRAMED
+        fingerprint = request_fingerprint(b"POST", b"/drafts/1", b"{}", "club")
+        guard = rig.gateway._crashes._guard
+        guard.merge(fingerprint, [UpstreamStart("e", 1)], 0.0)
+        answer = await rig.call("/drafts/1", tokens=TOKENS)
+        assert (answer.status, answer.is_complete) == (200, True)
+        assert guard.crashes_of(fingerprint) == set()
--- a/tests/test_policy_quotas.py
+++ b/tests/test_policy_quotas.py
@@ -370,6 +370,13 @@
     assert tracker.take_untold_refunds(1, 7.2) == [("club", 6.2, 100.0)]
     assert tracker.take_untold_refunds(9, 7.2) == [("club", 5.2, 100.0)]
     assert not tracker.has_untold_refunds
+    # Those of about the same time are one row, with the earliest time.
+    for now_s in (8.0, 8.05, 8.2):
+        assert tracker.try_take("club", 10.0, now_s)
+    tracker.mark_reported(8.5)
+    for now_s in (8.0, 8.05, 8.2):
+        tracker.refund("club", 10.0, now_s, 9.0)
+    assert tracker.take_untold_refunds(9, 9.0) == [("club", 1.0, 30.0)]
 
 
 def test_a_sum_of_an_older_build_that_falls_gives_nothing_back():
